--- /dev/null
+++ b/cmake/modules.cmake
@@ -0,0 +1,31 @@
+# catkintack_module(NAME LIBS ...): a static library from src/catkintack/NAME and its unit tests.
+add_library(catkintack_flags INTERFACE)
+target_compile_options(catkintack_flags INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Wconversion
+                       -Wno-sign-conversion -Werror)
+target_compile_definitions(catkintack_flags INTERFACE CATKINTACK_VERSION="${PROJECT_VERSION}")
+target_include_directories(catkintack_flags INTERFACE ${PROJECT_SOURCE_DIR}/include)
+
+# catkintack_tests(TARGET LIBS SOURCES...): one GoogleTest program, every case known to ctest.
+function(catkintack_tests target libs)
+  add_executable(${target} ${ARGN})
+  target_link_libraries(${target} PRIVATE catkintack_flags ${libs} GTest::gmock GTest::gtest
+                        GTest::gtest_main rapidcheck)
+  target_include_directories(${target} PRIVATE ${PROJECT_SOURCE_DIR}/src
+                             ${PROJECT_SOURCE_DIR}/tests)
+  gtest_discover_tests(${target} DISCOVERY_TIMEOUT 60 PROPERTIES TIMEOUT 300)
+endfunction()
+
+function(catkintack_module name)
+  cmake_parse_arguments(ARG "" "" "LIBS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/src/catkintack/${name}/*.cpp)
+  set(tests ${sources})
+  list(FILTER sources EXCLUDE REGEX "_test\\.cpp$")
+  list(FILTER tests INCLUDE REGEX "_test\\.cpp$")
+  add_library(catkintack_${name} STATIC ${sources})
+  target_link_libraries(catkintack_${name} PUBLIC ${ARG_LIBS} PRIVATE catkintack_flags)
+  target_include_directories(catkintack_${name} PUBLIC ${PROJECT_SOURCE_DIR}/include
+                             PRIVATE ${PROJECT_SOURCE_DIR}/src)
+  if(tests)
+    catkintack_tests(${name}_test catkintack_${name} ${tests})
+  endif()
+endfunction()
--- /dev/null
+++ b/include/catkintack/base/address.hpp
@@ -0,0 +1,37 @@
+/// @file
+/// An IP address with a port.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace catkintack::base {
+
+/// @brief An IPv4 address and port.
+struct address {
+  std::string ip;          ///< Dotted IPv4 address.
+  std::uint16_t port = 0;  ///< Port, 1 to 65535.
+
+  auto operator<=>(const address&) const = default;
+
+  /// @brief Serializes the address with cereal.
+  /// @param archive The cereal archive.
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(ip, port);
+  }
+};
+
+/// @brief Reads "ip:port".
+/// @param text The text.
+/// @return The address, or nothing when the text is no IPv4 address with a port of 1 to 65535.
+std::optional<address> parse_address(const std::string& text);
+
+/// @brief Writes "ip:port".
+/// @param value The address.
+/// @return The text.
+std::string to_string(const address& value);
+
+}  // namespace catkintack::base
--- /dev/null
+++ b/include/catkintack/base/ids.hpp
@@ -0,0 +1,24 @@
+/// @file
+/// The identifiers that all modules share.
+#pragma once
+
+#include "catkintack/base/strong_id.hpp"
+#include "catkintack/base/strong_number.hpp"
+
+namespace catkintack::base {
+
+using host_id = strong_id<struct host_tag>;                      ///< A gateway host.
+using region_id = strong_id<struct region_tag>;                  ///< A region.
+using failure_domain_id = strong_id<struct failure_domain_tag>;  ///< A failure domain.
+using service_id = strong_id<struct service_tag>;                ///< A service behind the gateway.
+using upstream_id = strong_id<struct upstream_tag>;              ///< One endpoint of a service.
+using customer_id = strong_id<struct customer_tag>;              ///< A customer.
+using plan_id = strong_id<struct plan_tag>;                      ///< A plan held by customers.
+using request_id = strong_id<struct request_tag>;  ///< A caller's request, over all its repeats.
+
+using incarnation = strong_number<struct incarnation_tag>;    ///< One run of a host's daemon.
+using list_version = strong_number<struct list_version_tag>;  ///< A version of an operators' list.
+using call_id = strong_number<struct call_tag>;               ///< One arrival at one daemon.
+using attempt_number = strong_number<struct attempt_tag>;     ///< An attempt of one call, from 1.
+
+}  // namespace catkintack::base
--- /dev/null
+++ b/include/catkintack/cli/command.hpp
@@ -0,0 +1,43 @@
+/// @file
+/// The operators' commands, apart from the parsing of options.
+#pragma once
+
+#include <boost/leaf.hpp>
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+#include "catkintack/base/address.hpp"
+
+namespace catkintack::cli {
+
+/// @brief Exit codes that scripts can rely on.
+enum class exit_code : int {
+  ok = 0,
+  failed = 1,    ///< Refused or failed; nothing was changed.
+  usage = 2,     ///< The command line or a settings file is wrong.
+  conflict = 3,  ///< Another operator changed the same entry.
+  unknown = 4,   ///< The write may or may not have taken effect.
+  waiting = 5,   ///< Written, and not yet in force on every host.
+};
+
+/// @brief Options common to all commands, and the command's words.
+struct command_line {
+  base::address store;
+  base::address host_list;
+  bool json = false;
+  std::string key;                 ///< A customer's key, for `plans set`.
+  double rate_per_second = 0;      ///< For `allowances set`.
+  unsigned burst = 0;              ///< For `allowances set`.
+  unsigned max_concurrent = 0;     ///< For `allowances set`.
+  std::vector<std::string> words;  ///< For example {"plans", "list"}.
+};
+
+/// @brief Runs a command.
+/// @param line The command line.
+/// @param out Takes results.
+/// @param err Takes errors.
+/// @return The exit code.
+exit_code run_command(const command_line& line, std::ostream& out, std::ostream& err);
+
+}  // namespace catkintack::cli
--- /dev/null
+++ b/include/catkintack/daemon/call_worker.hpp
@@ -0,0 +1,55 @@
+/// @file
+/// Runs calls: carries out the decision core's actions for them.
+#pragma once
+
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+
+#include "catkintack/daemon/core_runner.hpp"
+#include "catkintack/daemon/task_pool.hpp"
+#include "catkintack/net/upstream_client.hpp"
+
+namespace catkintack::daemon {
+
+/// @brief Connects the decision core with the upstreams. Safe for use by several threads.
+class call_worker {
+ public:
+  /// @brief Sets up the worker.
+  /// @param core The decision core.
+  /// @param clock The clock that the core's times belong to.
+  call_worker(std::unique_ptr<gateway::gateway> core, const base::clock_hook& clock);
+
+  /// @brief Runs a call to its end on the calling thread.
+  /// @param event The call's arrival.
+  /// @param request What is to be sent upstream.
+  /// @return The final answer.
+  delivery::final_answer run(const gateway::call_arrived& event,
+                             const net::upstream_request& request);
+
+  /// @brief Feeds an event to the core.
+  /// @param event The event.
+  void submit(const gateway::gateway_event& event) { runner_.submit(event); }
+
+  /// @brief Calls in progress.
+  /// @return Their number.
+  std::size_t open_calls() const { return runner_.open_calls(); }
+
+ private:
+  using shared_request = std::shared_ptr<const net::upstream_request>;
+
+  gateway::attempt_ended attempt(const gateway::send_attempt& action,
+                                 const net::upstream_request& request);
+  void attempt_elsewhere(const gateway::send_attempt& action);
+  void remember(base::call_id call, shared_request request);
+  void forget(base::call_id call);
+  shared_request find(base::call_id call);
+
+  net::upstream_client upstreams_;
+  core_runner runner_;
+  std::mutex mutex_;
+  std::unordered_map<base::call_id, shared_request> requests_;
+  task_pool pool_;  // Last, so that its threads end first.
+};
+
+}  // namespace catkintack::daemon
--- /dev/null
+++ b/include/catkintack/daemon/core_runner.hpp
@@ -0,0 +1,62 @@
+/// @file
+/// Serializes the events of all threads into the decision core and hands out its actions.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+#include <vector>
+
+#include "catkintack/base/hooks.hpp"
+#include "catkintack/daemon/call_mailbox.hpp"
+#include "catkintack/gateway/gateway.hpp"
+
+namespace catkintack::daemon {
+
+/// @brief What the runner asks of the network.
+struct core_runner_hooks {
+  base::clock_hook clock;
+  /// Runs an attempt on a thread other than the one that serves the call.
+  std::function<void(const gateway::send_attempt&)> run_elsewhere;
+  /// Breaks an attempt in flight.
+  std::function<void(const gateway::cancel_attempt&)> cancel;
+};
+
+/// @brief The decision core behind a lock that is held for one decision, never across a call.
+class core_runner {
+ public:
+  core_runner(std::unique_ptr<gateway::gateway> core, core_runner_hooks hooks);
+
+  /// @brief Starts a call.
+  /// @param event Its arrival; the call's number is filled in.
+  /// @return The call's mailbox, and its number.
+  std::pair<base::call_id, std::shared_ptr<call_mailbox>> begin(gateway::call_arrived event);
+
+  /// @brief Forgets a call whose final answer was taken.
+  /// @param call The call.
+  void end(base::call_id call);
+
+  /// @brief Feeds an event to the core.
+  /// @param event The event.
+  void submit(const gateway::gateway_event& event);
+
+  /// @brief Calls that have begun and not ended.
+  /// @return Their number.
+  std::size_t open_calls() const;
+
+ private:
+  using delivery_list =
+      std::vector<std::pair<std::shared_ptr<call_mailbox>, gateway::gateway_action>>;
+
+  delivery_list decide(const gateway::gateway_event& event);
+  void deliver(const delivery_list& deliveries);
+
+  std::unique_ptr<gateway::gateway> core_;
+  core_runner_hooks hooks_;
+  mutable std::mutex mutex_;
+  std::unordered_map<base::call_id, std::shared_ptr<call_mailbox>> mailboxes_;
+  base::call_id last_call_;
+};
+
+}  // namespace catkintack::daemon
--- /dev/null
+++ b/include/catkintack/daemon/daemon.hpp
@@ -0,0 +1,52 @@
+/// @file
+/// A gateway host's daemon, wired together.
+#pragma once
+
+#include <boost/leaf.hpp>
+#include <functional>
+#include <memory>
+
+#include "catkintack/base/event_log.hpp"
+#include "catkintack/base/metric_registry.hpp"
+#include "catkintack/daemon/admin_server.hpp"
+#include "catkintack/daemon/call_worker.hpp"
+#include "catkintack/daemon/control_loop.hpp"
+#include "catkintack/daemon/platform_poller.hpp"
+#include "catkintack/daemon/settings.hpp"
+#include "catkintack/daemon/traffic_server.hpp"
+#include "catkintack/net/peer_datagram.hpp"
+
+namespace catkintack::daemon {
+
+/// @brief One incarnation of a host.
+class daemon {
+ public:
+  /// @brief Starts all parts.
+  /// @param settings The settings.
+  /// @param run The incarnation; higher than any before of this host.
+  /// @return The running daemon, or a daemon_error.
+  static boost::leaf::result<std::unique_ptr<daemon>> start(const settings& settings,
+                                                            base::incarnation run);
+
+  /// @brief Stops as planned: announces, finishes all calls, then closes.
+  /// @return Calls that were still open when the stop limit was reached.
+  std::size_t stop();
+
+ private:
+  daemon(const settings& settings, base::incarnation run);
+  boost::leaf::result<void> open();
+
+  settings settings_;
+  base::incarnation run_;
+  base::clock_hook clock_;
+  base::event_log events_;
+  base::metric_registry metrics_;
+  std::unique_ptr<call_worker> worker_;
+  std::unique_ptr<control_loop> control_;
+  std::unique_ptr<net::peer_datagram> datagrams_;
+  std::unique_ptr<platform_poller> platform_;
+  std::unique_ptr<traffic_server> traffic_;
+  std::unique_ptr<http_listener> admin_;
+};
+
+}  // namespace catkintack::daemon
--- /dev/null
+++ b/include/catkintack/daemon/http_listener.hpp
@@ -0,0 +1,58 @@
+/// @file
+/// A cpp-httplib server with this product's limits, listening on its own thread.
+#pragma once
+
+#include <boost/leaf.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "catkintack/base/address.hpp"
+#include "catkintack/base/units.hpp"
+
+namespace httplib {
+class Server;
+}
+
+namespace catkintack::daemon {
+
+/// @brief An error of the daemon layer.
+struct daemon_error {
+  std::string message;
+};
+
+/// @brief Limits of a listener.
+struct http_listener_options {
+  base::address where;
+  std::uint32_t max_connections = 64;  ///< One thread each; more wait in the backlog.
+  std::uint64_t max_body_bytes = 1U << 20U;
+  base::duration idle_limit = std::chrono::seconds(30);  ///< Idle keep-alive connections.
+};
+
+/// @brief Owns a server and the thread that accepts its connections.
+class http_listener {
+ public:
+  /// @brief Binds, lets the caller add routes, and starts to listen.
+  /// @param options Where and how much.
+  /// @param add_routes Adds the routes.
+  /// @return The listener, or a daemon_error when the address cannot be bound.
+  static boost::leaf::result<std::unique_ptr<http_listener>> open(
+      const http_listener_options& options,
+      const std::function<void(httplib::Server&)>& add_routes);
+
+  http_listener(const http_listener&) = delete;
+  http_listener& operator=(const http_listener&) = delete;
+  http_listener(http_listener&&) = delete;
+  http_listener& operator=(http_listener&&) = delete;
+  /// @brief Stops listening; requests in progress finish.
+  ~http_listener();
+
+ private:
+  explicit http_listener(std::unique_ptr<httplib::Server> server);
+
+  std::unique_ptr<httplib::Server> server_;
+  std::thread thread_;
+};
+
+}  // namespace catkintack::daemon
--- /dev/null
+++ b/include/catkintack/daemon/traffic_server.hpp
@@ -0,0 +1,48 @@
+/// @file
+/// Serves callers: turns HTTP requests into calls of the decision core.
+#pragma once
+
+#include <atomic>
+#include <boost/leaf.hpp>
+#include <memory>
+
+#include "catkintack/base/metric_registry.hpp"
+#include "catkintack/daemon/call_worker.hpp"
+#include "catkintack/daemon/http_listener.hpp"
+#include "catkintack/daemon/settings.hpp"
+
+namespace catkintack::daemon {
+
+/// @brief The listener for callers.
+class traffic_server {
+ public:
+  /// @brief Starts to listen.
+  /// @param settings Where, and the limits.
+  /// @param token Given to callers to make request ids from.
+  /// @param worker Runs the calls.
+  /// @param metrics Counts the calls.
+  /// @return The server, or a daemon_error.
+  static boost::leaf::result<std::unique_ptr<traffic_server>> open(const settings& settings,
+                                                                   std::string token,
+                                                                   call_worker& worker,
+                                                                   base::metric_registry& metrics);
+
+  /// @brief Asks callers to take their next request elsewhere.
+  void set_leaving() { leaving_ = true; }
+
+ private:
+  traffic_server(const settings& settings,
+                 std::string token,
+                 call_worker& worker,
+                 base::metric_registry& metrics);
+  void add_routes(httplib::Server& server);
+
+  settings settings_;
+  std::string token_;
+  call_worker& worker_;
+  base::metric_registry& metrics_;
+  std::atomic<bool> leaving_ = false;
+  std::unique_ptr<http_listener> listener_;
+};
+
+}  // namespace catkintack::daemon
--- /dev/null
+++ b/include/catkintack/gateway/gateway_event.hpp
@@ -0,0 +1,63 @@
+/// @file
+/// What happens to the decision core.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "catkintack/base/ids.hpp"
+#include "catkintack/base/units.hpp"
+#include "catkintack/config/lists.hpp"
+#include "catkintack/delivery/answer.hpp"
+#include "catkintack/routing/attempt_result.hpp"
+#include "catkintack/routing/load_report.hpp"
+#include "catkintack/routing/upstream_record.hpp"
+
+namespace catkintack::gateway {
+
+/// @brief A caller's request has arrived whole.
+struct call_arrived {
+  base::call_id call;
+  base::request_id request;  ///< Empty when the caller gave none.
+  std::string key_hash;      ///< SHA-256 of the customer's key; empty without key.
+  base::service_id service;
+  bool idempotent = false;                  ///< By method or by the service's setting.
+  std::optional<base::duration> time_left;  ///< The caller's deadline; none for the default.
+};
+
+/// @brief An attempt started by send_attempt has ended.
+struct attempt_ended {
+  base::call_id call;
+  base::attempt_number attempt;
+  routing::attempt_result result = routing::attempt_result::broken;
+  delivery::shared_answer answer;             ///< Set when the result is answered.
+  std::optional<routing::load_report> load;   ///< The upstream's report, if it gave one.
+  std::optional<base::duration> retry_after;  ///< The upstream's word on when to come back.
+};
+
+/// @brief Time has passed; sent every few milliseconds.
+struct tick {};
+
+/// @brief New lists are in force on this host.
+struct lists_adopted {
+  config::shared_lists lists;
+};
+
+/// @brief The host list shows these upstreams.
+struct upstreams_listed {
+  std::vector<routing::upstream_record> upstreams;
+};
+
+/// @brief The number of gateway hosts, this one included, that share the allowances.
+struct fleet_sized {
+  std::uint32_t live_hosts = 1;
+};
+
+/// Anything that happens to the decision core.
+using gateway_event =
+    std::variant<call_arrived, attempt_ended, tick, lists_adopted, upstreams_listed, fleet_sized>;
+
+}  // namespace catkintack::gateway
--- /dev/null
+++ b/include/catkintack/membership/heartbeat.hpp
@@ -0,0 +1,29 @@
+/// @file
+/// The message that hosts send each other at a steady pace.
+#pragma once
+
+#include <cstdint>
+
+#include "catkintack/base/ids.hpp"
+
+namespace catkintack::membership {
+
+/// @brief A host's word that it lives, and the versions it has in force.
+struct heartbeat {
+  base::host_id host;
+  base::incarnation run;
+  std::uint64_t sequence = 0;  ///< Rises within an incarnation.
+  std::uint64_t time = 0;      ///< Hybrid clock of the sender.
+  bool leaving = false;
+  base::list_version plans;
+  base::list_version allowances;
+
+  /// @brief Serializes the message with cereal.
+  /// @param archive The cereal archive.
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(host, run, sequence, time, leaving, plans, allowances);
+  }
+};
+
+}  // namespace catkintack::membership
--- /dev/null
+++ b/include/catkintack/net/headers.hpp
@@ -0,0 +1,15 @@
+/// @file
+/// Names of the HTTP headers that callers, gateways and upstreams exchange.
+#pragma once
+
+namespace catkintack::net::headers {
+
+inline constexpr const char* api_key = "Catkintack-Key";             ///< The customer's key.
+inline constexpr const char* request_id = "Catkintack-Request-Id";   ///< Same on every repeat.
+inline constexpr const char* time_left = "Catkintack-Time-Left-Ms";  ///< Deadline, milliseconds.
+inline constexpr const char* outcome = "Catkintack-Outcome";         ///< answer, not_run, unknown.
+inline constexpr const char* token = "Catkintack-Token";   ///< host.incarnation, to make ids from.
+inline constexpr const char* load = "Catkintack-Load";     ///< "running=1 queued=0 leaving=0".
+inline constexpr const char* retry_after = "Retry-After";  ///< Seconds, rounded up.
+
+}  // namespace catkintack::net::headers
--- /dev/null
+++ b/include/catkintack/net/peer_server.hpp
@@ -0,0 +1,64 @@
+/// @file
+/// Answers other hosts' requests over TCP.
+#pragma once
+
+#include <atomic>
+#include <boost/leaf.hpp>
+#include <functional>
+#include <list>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+#include "catkintack/base/address.hpp"
+#include "catkintack/net/net_error.hpp"
+#include "catkintack/net/peer_message.hpp"
+#include "catkintack/net/socket.hpp"
+
+namespace catkintack::net {
+
+/// Answers a request; called from the connection's thread.
+using peer_handler = std::function<peer_response(const peer_request&)>;
+
+/// @brief Bounds of the server.
+struct peer_server_options {
+  base::address where;
+  std::string key;                    ///< The fleet's peer key.
+  std::size_t max_connections = 512;  ///< One thread each; more are closed at once.
+};
+
+/// @brief A server with one thread per connection.
+class peer_server {
+ public:
+  /// @brief Listens and starts the accepting thread.
+  /// @param options Where and for whom.
+  /// @param handler Answers the requests.
+  /// @return The server, or a net_error.
+  static boost::leaf::result<std::unique_ptr<peer_server>> open(peer_server_options options,
+                                                                peer_handler handler);
+
+  peer_server(const peer_server&) = delete;
+  peer_server& operator=(const peer_server&) = delete;
+  peer_server(peer_server&&) = delete;
+  peer_server& operator=(peer_server&&) = delete;
+  ~peer_server();
+
+ private:
+  struct connection;
+
+  peer_server(socket_handle socket, peer_server_options options, peer_handler handler);
+  void accept_all();
+  void serve(connection& self);
+  void remove_ended();
+
+  socket_handle socket_;
+  peer_server_options options_;
+  peer_handler handler_;
+  std::atomic<bool> stopping_ = false;
+  std::mutex mutex_;
+  std::list<std::unique_ptr<connection>> connections_;
+  std::thread thread_;
+};
+
+}  // namespace catkintack::net
--- /dev/null
+++ b/include/catkintack/net/socket.hpp
@@ -0,0 +1,30 @@
+/// @file
+/// Ownership of a socket's file descriptor.
+#pragma once
+
+#include <utility>
+
+namespace catkintack::net {
+
+/// @brief A file descriptor closed on destruction.
+class socket_handle {
+ public:
+  socket_handle() = default;
+  explicit socket_handle(int descriptor) : descriptor_(descriptor) {}
+  socket_handle(const socket_handle&) = delete;
+  socket_handle& operator=(const socket_handle&) = delete;
+  socket_handle(socket_handle&& other) noexcept
+      : descriptor_(std::exchange(other.descriptor_, -1)) {}
+  socket_handle& operator=(socket_handle&& other) noexcept;
+  ~socket_handle();
+
+  int descriptor() const { return descriptor_; }
+  bool valid() const { return descriptor_ >= 0; }
+  /// @brief Ends both directions, so that blocked readers return.
+  void shut_down() const;
+
+ private:
+  int descriptor_ = -1;
+};
+
+}  // namespace catkintack::net
--- /dev/null
+++ b/src/catkintack/config/list_codec.cpp
@@ -0,0 +1,132 @@
+#include "catkintack/config/list_codec.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace catkintack::config {
+namespace {
+
+using nlohmann::json;
+namespace leaf = boost::leaf;
+
+constexpr double max_rate_per_second = 1'000'000;
+constexpr std::uint32_t max_count = 1'000'000;
+constexpr std::size_t key_hash_digits = 64;
+
+leaf::error_id malformed(const std::string& message) {
+  return leaf::new_error(config_error{config_error_kind::malformed_list, message});
+}
+
+leaf::error_id invalid(const std::string& message) {
+  return leaf::new_error(config_error{config_error_kind::invalid_entry, message});
+}
+
+std::string quoted(const std::string& text) { return "\"" + text + "\""; }
+
+leaf::result<void> check(const customer& entry) {
+  if (entry.id.empty()) {
+    return invalid("a customer has no name");
+  }
+  if (entry.plan.empty()) {
+    return invalid("customer " + quoted(entry.id.value()) + " has no plan");
+  }
+  const bool hexadecimal =
+      entry.key_hash.find_first_not_of("0123456789abcdef") == std::string::npos;
+  if (entry.key_hash.size() != key_hash_digits || !hexadecimal) {
+    return invalid("customer " + quoted(entry.id.value()) +
+                   " has a key_hash that is not 64 lower-case hexadecimal digits");
+  }
+  return {};
+}
+
+leaf::result<void> check(const allowance& entry) {
+  const std::string name =
+      "allowance of plan " + quoted(entry.plan.value()) + " for " + quoted(entry.service.value());
+  if (entry.plan.empty() || entry.service.empty()) {
+    return invalid(name + " lacks its plan or service");
+  }
+  if (!(entry.rate_per_second >= 0 && entry.rate_per_second <= max_rate_per_second)) {
+    return invalid(name + " has a rate_per_second outside 0 to 1000000");
+  }
+  if (entry.burst < 1 || entry.burst > max_count) {
+    return invalid(name + " has a burst outside 1 to 1000000");
+  }
+  if (entry.max_concurrent < 1 || entry.max_concurrent > max_count) {
+    return invalid(name + " has a max_concurrent outside 1 to 1000000");
+  }
+  return {};
+}
+
+customer read_customer(const json& value) {
+  return {base::customer_id(value.at("customer").get<std::string>()),
+          base::plan_id(value.at("plan").get<std::string>()),
+          value.at("key_hash").get<std::string>()};
+}
+
+allowance read_allowance(const json& value) {
+  return {base::plan_id(value.at("plan").get<std::string>()),
+          base::service_id(value.at("service").get<std::string>()),
+          value.at("rate_per_second").get<double>(), value.at("burst").get<std::uint32_t>(),
+          value.at("max_concurrent").get<std::uint32_t>()};
+}
+
+}  // namespace
+
+std::string to_json(const plans_list& list) {
+  json entries = json::array();
+  for (const auto& [id, entry] : list.customers) {
+    entries.push_back(
+        {{"customer", id.value()}, {"plan", entry.plan.value()}, {"key_hash", entry.key_hash}});
+  }
+  return json{{"version", list.version.value()}, {"customers", entries}}.dump();
+}
+
+std::string to_json(const allowances_list& list) {
+  json entries = json::array();
+  for (const auto& [key, entry] : list.allowances) {
+    entries.push_back({{"plan", entry.plan.value()},
+                       {"service", entry.service.value()},
+                       {"rate_per_second", entry.rate_per_second},
+                       {"burst", entry.burst},
+                       {"max_concurrent", entry.max_concurrent}});
+  }
+  return json{{"version", list.version.value()}, {"allowances", entries}}.dump();
+}
+
+leaf::result<plans_list> parse_plans(const std::string& text) {
+  plans_list list;
+  try {
+    const json document = json::parse(text);
+    list.version = base::list_version(document.at("version").get<std::uint64_t>());
+    for (const json& value : document.at("customers")) {
+      const customer entry = read_customer(value);
+      BOOST_LEAF_CHECK(check(entry));
+      if (!list.customers.emplace(entry.id, entry).second) {
+        return invalid("customer " + quoted(entry.id.value()) + " appears twice");
+      }
+    }
+  } catch (const json::exception& error) {
+    return malformed(std::string("plans list is malformed: ") + error.what());
+  }
+  return list;
+}
+
+leaf::result<allowances_list> parse_allowances(const std::string& text) {
+  allowances_list list;
+  try {
+    const json document = json::parse(text);
+    list.version = base::list_version(document.at("version").get<std::uint64_t>());
+    for (const json& value : document.at("allowances")) {
+      const allowance entry = read_allowance(value);
+      BOOST_LEAF_CHECK(check(entry));
+      if (!list.allowances.emplace(std::pair{entry.plan, entry.service}, entry).second) {
+        return invalid("allowance of plan " + quoted(entry.plan.value()) + " for " +
+                       quoted(entry.service.value()) + " appears twice");
+      }
+    }
+  } catch (const json::exception& error) {
+    return malformed(std::string("allowances list is malformed: ") + error.what());
+  }
+  return list;
+}
+
+}  // namespace catkintack::config
--- /dev/null
+++ b/src/catkintack/config/list_codec_test.cpp
@@ -0,0 +1,46 @@
+#include "catkintack/config/list_codec.hpp"
+
+#include <gtest/gtest.h>
+
+#include "catkintack/config/key_hash.hpp"
+
+namespace catkintack::config {
+namespace {
+
+namespace leaf = boost::leaf;
+
+std::string message_of(const std::string& text) {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<std::string> {
+        BOOST_LEAF_CHECK(parse_allowances(text));
+        return std::string("no error");
+      },
+      [](const config_error& error) { return error.message; },
+      [] { return std::string("other error"); });
+}
+
+TEST(list_codec, reads_what_it_writes) {
+  plans_list plans;
+  plans.version = base::list_version(3);
+  const customer wholesaler{base::customer_id("mercato"), base::plan_id("gold"), hash_key("k")};
+  plans.customers.emplace(wholesaler.id, wholesaler);
+  const auto read = parse_plans(to_json(plans));
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read.value().version.value(), 3U);
+  EXPECT_EQ(read.value().customers, plans.customers);
+}
+
+TEST(list_codec, names_the_bad_entry) {
+  EXPECT_EQ(message_of(R"({"version":1,"allowances":[{"plan":"gold","service":"scan-service",
+      "rate_per_second":-1,"burst":1,"max_concurrent":1}]})"),
+            "allowance of plan \"gold\" for \"scan-service\" has a rate_per_second outside 0 to "
+            "1000000");
+  EXPECT_EQ(message_of("{}").substr(0, 28), "allowances list is malformed");
+}
+
+TEST(key_hash, is_sha256) {
+  EXPECT_EQ(hash_key("abc"), "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+}
+
+}  // namespace
+}  // namespace catkintack::config
--- /dev/null
+++ b/src/catkintack/daemon/admin_server.cpp
@@ -0,0 +1,62 @@
+#include "catkintack/daemon/admin_server.hpp"
+
+#include <httplib.h>
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "catkintack/daemon/event_json.hpp"
+
+namespace catkintack::daemon {
+namespace {
+
+constexpr int status_unavailable = 503;
+constexpr std::uint32_t admin_connections = 8;
+
+std::uint64_t read_since(const httplib::Request& request) {
+  const std::string text = request.get_param_value("since");
+  std::uint64_t sequence = 0;
+  std::from_chars(text.data(), text.data() + text.size(), sequence);
+  return sequence;
+}
+
+std::string events_text(const base::event_log& events, std::uint64_t since) {
+  nlohmann::json list = nlohmann::json::array();
+  for (const base::event_record& record : events.since(since)) {
+    list.push_back(to_json(record));
+  }
+  return list.dump();
+}
+
+}  // namespace
+
+boost::leaf::result<std::unique_ptr<http_listener>> open_admin_server(const base::address& where,
+                                                                      admin_sources sources) {
+  http_listener_options options;
+  options.where = where;
+  options.max_connections = admin_connections;
+  options.idle_limit = std::chrono::seconds(1);
+  const auto shown = std::make_shared<const admin_sources>(std::move(sources));
+  return http_listener::open(options, [shown](httplib::Server& server) {
+    server.Get("/healthz", [](const httplib::Request&, httplib::Response& response) {
+      response.set_content("alive\n", "text/plain");
+    });
+    server.Get("/readyz", [shown](const httplib::Request&, httplib::Response& response) {
+      const bool ready = shown->status().ready;
+      response.status = ready ? response.status : status_unavailable;
+      response.set_content(ready ? "ready\n" : "not ready\n", "text/plain");
+    });
+    server.Get("/status", [shown](const httplib::Request&, httplib::Response& response) {
+      response.set_content(to_json(shown->status(), shown->host, shown->run), "application/json");
+    });
+    server.Get("/metrics", [shown](const httplib::Request&, httplib::Response& response) {
+      response.set_content(shown->metrics->prometheus_text(), "text/plain");
+    });
+    server.Get("/events", [shown](const httplib::Request& request, httplib::Response& response) {
+      response.set_content(events_text(*shown->events, read_since(request)), "application/json");
+    });
+  });
+}
+
+}  // namespace catkintack::daemon
--- /dev/null
+++ b/src/catkintack/daemon/call_worker.cpp
@@ -0,0 +1,78 @@
+#include "catkintack/daemon/call_worker.hpp"
+
+#include <utility>
+#include <variant>
+
+namespace catkintack::daemon {
+namespace {
+
+constexpr std::size_t pool_threads = 8;
+
+}  // namespace
+
+call_worker::call_worker(std::unique_ptr<gateway::gateway> core, const base::clock_hook& clock)
+    : upstreams_({}, clock),
+      runner_(std::move(core),
+              {clock, [this](const gateway::send_attempt& action) { attempt_elsewhere(action); },
+               [this](const gateway::cancel_attempt& action) {
+                 upstreams_.cancel({action.call, action.attempt});
+               }}),
+      pool_(pool_threads) {}
+
+delivery::final_answer call_worker::run(const gateway::call_arrived& event,
+                                        const net::upstream_request& request) {
+  const auto shared = std::make_shared<const net::upstream_request>(request);
+  const auto [call, mailbox] = runner_.begin(event);
+  remember(call, shared);
+  while (true) {
+    const gateway::gateway_action action = mailbox->take();
+    if (const auto* const finished = std::get_if<gateway::finish_call>(&action)) {
+      forget(call);
+      runner_.end(call);
+      return finished->end;
+    }
+    const gateway::attempt_ended end = attempt(std::get<gateway::send_attempt>(action), *shared);
+    mailbox->attempt_ended();
+    runner_.submit(end);
+  }
+}
+
+gateway::attempt_ended call_worker::attempt(const gateway::send_attempt& action,
+                                            const net::upstream_request& request) {
+  const net::exchange_result end = upstreams_.exchange(
+      {action.call, action.attempt}, action.target.where, request, action.deadline);
+  return {action.call, action.attempt, end.result, end.answer, end.load, end.retry_after};
+}
+
+void call_worker::attempt_elsewhere(const gateway::send_attempt& action) {
+  pool_.submit([this, action] {
+    const shared_request request = find(action.call);
+    if (!request) {
+      gateway::attempt_ended end;
+      end.call = action.call;
+      end.attempt = action.attempt;
+      end.result = routing::attempt_result::not_sent;
+      runner_.submit(end);
+      return;
+    }
+    runner_.submit(attempt(action, *request));
+  });
+}
+
+void call_worker::remember(base::call_id call, shared_request request) {
+  const std::lock_guard lock(mutex_);
+  requests_.emplace(call, std::move(request));
+}
+
+void call_worker::forget(base::call_id call) {
+  const std::lock_guard lock(mutex_);
+  requests_.erase(call);
+}
+
+call_worker::shared_request call_worker::find(base::call_id call) {
+  const std::lock_guard lock(mutex_);
+  const auto found = requests_.find(call);
+  return found == requests_.end() ? nullptr : found->second;
+}
+
+}  // namespace catkintack::daemon
--- /dev/null
+++ b/src/catkintack/daemon/core_runner.cpp
@@ -0,0 +1,73 @@
+#include "catkintack/daemon/core_runner.hpp"
+
+#include <utility>
+#include <variant>
+
+namespace catkintack::daemon {
+namespace {
+
+base::call_id call_of(const gateway::gateway_action& action) {
+  return std::visit([](const auto& concrete) { return concrete.call; }, action);
+}
+
+}  // namespace
+
+core_runner::core_runner(std::unique_ptr<gateway::gateway> core, core_runner_hooks hooks)
+    : core_(std::move(core)), hooks_(std::move(hooks)) {}
+
+std::pair<base::call_id, std::shared_ptr<call_mailbox>> core_runner::begin(
+    gateway::call_arrived event) {
+  auto mailbox = std::make_shared<call_mailbox>();
+  delivery_list deliveries;
+  {
+    const std::lock_guard lock(mutex_);
+    last_call_ = last_call_.next();
+    event.call = last_call_;
+    mailboxes_.emplace(event.call, mailbox);
+    deliveries = decide(event);
+  }
+  deliver(deliveries);
+  return {event.call, std::move(mailbox)};
+}
+
+void core_runner::end(base::call_id call) {
+  const std::lock_guard lock(mutex_);
+  mailboxes_.erase(call);
+}
+
+void core_runner::submit(const gateway::gateway_event& event) {
+  delivery_list deliveries;
+  {
+    const std::lock_guard lock(mutex_);
+    deliveries = decide(event);
+  }
+  deliver(deliveries);
+}
+
+std::size_t core_runner::open_calls() const {
+  const std::lock_guard lock(mutex_);
+  return mailboxes_.size();
+}
+
+core_runner::delivery_list core_runner::decide(const gateway::gateway_event& event) {
+  delivery_list deliveries;
+  for (gateway::gateway_action& action : core_->handle(hooks_.clock(), event)) {
+    const auto found = mailboxes_.find(call_of(action));
+    if (found != mailboxes_.end()) {
+      deliveries.emplace_back(found->second, std::move(action));
+    }
+  }
+  return deliveries;
+}
+
+void core_runner::deliver(const delivery_list& deliveries) {
+  for (const auto& [mailbox, action] : deliveries) {
+    if (const auto* const cancelled = std::get_if<gateway::cancel_attempt>(&action)) {
+      hooks_.cancel(*cancelled);
+    } else if (!mailbox->post(action)) {
+      hooks_.run_elsewhere(std::get<gateway::send_attempt>(action));
+    }
+  }
+}
+
+}  // namespace catkintack::daemon
--- /dev/null
+++ b/src/catkintack/daemon/daemon.cpp
@@ -0,0 +1,97 @@
+#include "catkintack/daemon/daemon.hpp"
+
+#include <thread>
+#include <utility>
+
+#include "catkintack/daemon/log.hpp"
+#include "catkintack/net/http_store.hpp"
+
+namespace catkintack::daemon {
+namespace {
+
+namespace leaf = boost::leaf;
+
+constexpr base::duration stop_poll_interval = std::chrono::milliseconds(10);
+constexpr base::duration announce_time = std::chrono::milliseconds(1500);
+
+std::unique_ptr<gateway::gateway> make_core(const settings& settings, base::event_log& events) {
+  gateway::gateway_options options;
+  options.routing.region = settings.region;
+  options.routing.failure_domain = settings.failure_domain;
+  options.default_time_left = settings.default_time_left;
+  options.max_attempts = settings.max_attempts;
+  return std::make_unique<gateway::gateway>(
+      options, base::seeded_random_hook(base::entropy_seed()),
+      [&events](std::string part, std::string kind, const base::request_id& request,
+                std::vector<base::event_field> fields) {
+        events.record(std::move(part), std::move(kind), request, std::move(fields));
+      });
+}
+
+}  // namespace
+
+daemon::daemon(const settings& settings, base::incarnation run)
+    : settings_(settings),
+      run_(run),
+      clock_(base::system_clock_hook()),
+      events_({settings.host, run}, base::system_wall_clock_hook()),
+      worker_(std::make_unique<call_worker>(make_core(settings, events_), clock_)) {}
+
+leaf::result<std::unique_ptr<daemon>> daemon::start(const settings& settings,
+                                                    base::incarnation run) {
+  std::unique_ptr<daemon> started(new daemon(settings, run));
+  BOOST_LEAF_CHECK(started->open());
+  return started;
+}
+
+leaf::result<void> daemon::open() {
+  control_loop_options options;
+  options.host = settings_.host;
+  options.run = run_;
+  options.send_datagram = [this](const base::address& to, const std::string& payload) {
+    datagrams_->send(to, payload);
+  };
+  control_ =
+      std::make_unique<control_loop>(std::move(options), *worker_, events_, metrics_, clock_);
+  auto datagrams = net::peer_datagram::open(
+      settings_.peers, settings_.peer_key,
+      [this](std::string payload) { control_->on_datagram(std::move(payload)); });
+  if (!datagrams) {
+    return leaf::new_error(
+        daemon_error{"cannot bind UDP address " + base::to_string(settings_.peers)});
+  }
+  datagrams_ = std::move(datagrams.value());
+  platform_hooks hooks;
+  hooks.on_hosts = [this](net::host_list hosts) { control_->on_hosts(std::move(hosts)); };
+  hooks.on_lists = [this](config::shared_lists lists) { control_->on_lists(std::move(lists)); };
+  platform_ = std::make_unique<platform_poller>(
+      settings_.host_list, net::make_http_store({settings_.store}), std::move(hooks));
+  const std::string token = settings_.host.value() + "." + std::to_string(run_.value());
+  BOOST_LEAF_ASSIGN(traffic_, traffic_server::open(settings_, token, *worker_, metrics_));
+  BOOST_LEAF_ASSIGN(admin_,
+                    open_admin_server(settings_.admin,
+                                      {settings_.host, run_, [this] { return control_->status(); },
+                                       &events_, &metrics_}));
+  return {};
+}
+
+std::size_t daemon::stop() {
+  log(log_level::info, "daemon", "leaving.");
+  control_->leave();
+  traffic_->set_leaving();
+  const base::instant limit = clock_() + settings_.stop_limit;
+  const base::instant announced = clock_() + announce_time;
+  while (clock_() < limit && (clock_() < announced || worker_->open_calls() > 0)) {
+    std::this_thread::sleep_for(stop_poll_interval);
+  }
+  const std::size_t open = worker_->open_calls();
+  traffic_.reset();
+  platform_.reset();
+  datagrams_.reset();
+  admin_.reset();
+  control_.reset();
+  log(log_level::info, "daemon", "stopped with " + std::to_string(open) + " calls open.");
+  return open;
+}
+
+}  // namespace catkintack::daemon
--- /dev/null
+++ b/src/catkintack/daemon/settings.cpp
@@ -0,0 +1,244 @@
+#include "catkintack/daemon/settings.hpp"
+
+#include <ini.h>
+
+#include <fstream>
+#include <set>
+#include <sstream>
+#include <utility>
+#include <vector>
+
+#include "settings_value.hpp"
+
+namespace catkintack::daemon {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct key_rule {
+  std::string section;
+  std::string key;
+  bool required = false;
+  std::string meaning;
+  value_reader read;
+};
+
+constexpr const char* service_prefix = "service ";
+constexpr std::uint64_t largest_body = 64U << 20U;
+
+std::vector<key_rule> identity_rules() {
+  return {
+      {"host", "id", true, "name of this host",
+       name_value([](settings& s, std::string v) { s.host = base::host_id(std::move(v)); })},
+      {"host", "region", true, "region of this host",
+       name_value([](settings& s, std::string v) { s.region = base::region_id(std::move(v)); })},
+      {"host", "failure_domain", true, "failure domain of this host",
+       name_value([](settings& s, std::string v) {
+         s.failure_domain = base::failure_domain_id(std::move(v));
+       })},
+      {"listen", "callers", true, "address for callers", address_value(&settings::callers)},
+      {"listen", "peers", true, "address for other hosts, UDP and TCP",
+       address_value(&settings::peers)},
+      {"listen", "admin", true, "address for operators and the balancer's check",
+       address_value(&settings::admin)},
+      {"platform", "store", true, "address of the store", address_value(&settings::store)},
+      {"platform", "host_list", true, "address of the host list",
+       address_value(&settings::host_list)},
+      {"peers", "key", true, "secret shared by all hosts", secret_value(&settings::peer_key)},
+  };
+}
+
+std::vector<key_rule> behaviour_rules() {
+  return {
+      {"calls", "default_time_left", false, "deadline of callers that send none (5s)",
+       duration_value(&settings::default_time_left, milliseconds(1), seconds(300))},
+      {"calls", "max_attempts", false, "attempts per call (3)",
+       count_value(&settings::max_attempts, 1, 10)},
+      {"calls", "max_body", false, "largest request body (8MiB)",
+       size_value(&settings::max_body_bytes, 1, largest_body)},
+      {"calls", "max_connections", false, "callers' connections at once (256)",
+       count_value(&settings::max_connections, 1, 4096)},
+      {"calls", "stop_limit", false, "longest planned stop (30s)",
+       duration_value(&settings::stop_limit, milliseconds(100), seconds(600))},
+      {"log", "level", false, "least severe level logged (info)", level_value()},
+  };
+}
+
+std::vector<key_rule> all_rules() {
+  std::vector<key_rule> rules = identity_rules();
+  for (key_rule& rule : behaviour_rules()) {
+    rules.push_back(std::move(rule));
+  }
+  return rules;
+}
+
+key_rule service_rule(const std::string& section) {
+  const base::service_id service(section.substr(std::string(service_prefix).size()));
+  return {section, "idempotent", false, "whether all of the service's methods may run twice (no)",
+          flag_value([service](settings& s, bool v) { s.services[service].idempotent = v; })};
+}
+
+class settings_parser {
+ public:
+  settings_parser(std::string name, const std::string& text)
+      : name_(std::move(name)), stream_(text), rules_(all_rules()) {}
+
+  boost::leaf::result<settings> parse() {
+    ini_parse_stream(&settings_parser::next_line, this, &settings_parser::on_value, this);
+    require_all();
+    if (!faults_.empty()) {
+      return boost::leaf::new_error(settings_error{faults_});
+    }
+    return result_;
+  }
+
+ private:
+  static char* next_line(char* buffer, int size, void* user) {
+    auto* const self = static_cast<settings_parser*>(user);
+    std::string line;
+    if (!std::getline(self->stream_, line)) {
+      return nullptr;
+    }
+    ++self->line_;
+    if (line.size() + 2 > static_cast<std::size_t>(size)) {
+      self->fault("line is longer than " + std::to_string(size - 2) + " characters");
+      line.clear();
+    }
+    self->check_shape(line);
+    line += "\n";
+    line.copy(buffer, line.size());
+    buffer[line.size()] = '\0';
+    return buffer;
+  }
+
+  static int on_value(void* user, const char* section, const char* key, const char* value) {
+    static_cast<settings_parser*>(user)->set(section, key, value);
+    return 1;
+  }
+
+  void check_shape(const std::string& line) {
+    const auto first = line.find_first_not_of(" \t\r");
+    if (first == std::string::npos || line[first] == ';' || line[first] == '#') {
+      return;
+    }
+    const bool section = line[first] == '[' && line.find(']') != std::string::npos;
+    if (!section && line.find('=') == std::string::npos) {
+      fault("\"" + line + "\" is neither a section nor key = value");
+    }
+  }
+
+  void set(const std::string& section, const std::string& key, const std::string& value) {
+    if (!seen_.emplace(section, key).second) {
+      fault("[" + section + "] " + key + " is set twice");
+      return;
+    }
+    const key_rule* const rule = find_rule(section, key);
+    if (rule == nullptr) {
+      return;
+    }
+    if (const auto allowed = rule->read(value, result_)) {
+      fault("[" + section + "] " + key + " must be " + *allowed);
+    }
+  }
+
+  const key_rule* find_rule(const std::string& section, const std::string& key) {
+    if (section.rfind(service_prefix, 0) == 0 && !known_section(section)) {
+      rules_.push_back(service_rule(section));
+    }
+    for (const key_rule& rule : rules_) {
+      if (rule.section == section && rule.key == key) {
+        return &rule;
+      }
+    }
+    if (known_section(section)) {
+      fault("[" + section + "] has no key \"" + key + "\"; its keys are " + keys_of(section));
+    } else {
+      fault("section [" + section + "] does not exist; sections are " + sections());
+    }
+    return nullptr;
+  }
+
+  bool known_section(const std::string& section) const {
+    for (const key_rule& rule : rules_) {
+      if (rule.section == section) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  std::string keys_of(const std::string& section) const {
+    std::string keys;
+    for (const key_rule& rule : rules_) {
+      if (rule.section == section) {
+        keys += (keys.empty() ? "" : ", ") + rule.key;
+      }
+    }
+    return keys;
+  }
+
+  std::string sections() const {
+    std::set<std::string> names;
+    for (const key_rule& rule : rules_) {
+      names.insert("[" + rule.section + "]");
+    }
+    names.insert("[service NAME]");
+    std::string list;
+    for (const std::string& name : names) {
+      list += (list.empty() ? "" : ", ") + name;
+    }
+    return list;
+  }
+
+  void require_all() {
+    for (const key_rule& rule : rules_) {
+      if (rule.required && !seen_.contains({rule.section, rule.key})) {
+        add_fault(name_ + ": [" + rule.section + "] " + rule.key + " is missing: " + rule.meaning);
+      }
+    }
+  }
+
+  void fault(const std::string& message) {
+    add_fault(name_ + ":" + std::to_string(line_) + ": " + message);
+  }
+
+  void add_fault(const std::string& message) { faults_ += (faults_.empty() ? "" : "\n") + message; }
+
+  std::string name_;
+  std::istringstream stream_;
+  std::vector<key_rule> rules_;
+  std::set<std::pair<std::string, std::string>> seen_;
+  settings result_;
+  std::string faults_;
+  int line_ = 0;
+};
+
+}  // namespace
+
+boost::leaf::result<settings> parse_settings(const std::string& name, const std::string& text) {
+  return settings_parser(name, text).parse();
+}
+
+boost::leaf::result<settings> read_settings(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    return boost::leaf::new_error(settings_error{path + ": cannot be read"});
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return parse_settings(path, text.str());
+}
+
+std::string settings_reference() {
+  std::string text;
+  std::vector<key_rule> rules = all_rules();
+  rules.push_back(service_rule(std::string(service_prefix) + "NAME"));
+  for (const key_rule& rule : rules) {
+    text += "[" + rule.section + "] " + rule.key + (rule.required ? " (required)" : "") + ": " +
+            rule.meaning + "\n";
+  }
+  return text;
+}
+
+}  // namespace catkintack::daemon
--- /dev/null
+++ b/src/catkintack/net/host_list.cpp
@@ -0,0 +1,98 @@
+#include "catkintack/net/host_list.hpp"
+
+#include <httplib.h>
+
+#include <nlohmann/json.hpp>
+
+namespace catkintack::net {
+namespace {
+
+namespace leaf = boost::leaf;
+using nlohmann::json;
+
+constexpr int status_ok = 200;
+
+leaf::error_id malformed(const std::string& message) {
+  return leaf::new_error(net_error{net_error_kind::malformed, message});
+}
+
+leaf::result<base::address> read_address(const json& entry, const char* key) {
+  const std::string text = entry.at(key).get<std::string>();
+  const auto address = base::parse_address(text);
+  if (!address) {
+    return malformed("host list: \"" + text + "\" is no address");
+  }
+  return *address;
+}
+
+leaf::result<bool> read_leaving(const json& entry) {
+  const std::string state = entry.at("state").get<std::string>();
+  if (state != "live" && state != "leaving") {
+    return malformed("host list: state \"" + state + "\" is neither live nor leaving");
+  }
+  return state == "leaving";
+}
+
+leaf::result<membership::gateway_record> read_gateway(const json& entry) {
+  membership::gateway_record record;
+  record.host = base::host_id(entry.at("host").get<std::string>());
+  BOOST_LEAF_ASSIGN(record.callers, read_address(entry, "callers"));
+  BOOST_LEAF_ASSIGN(record.peers, read_address(entry, "peers"));
+  BOOST_LEAF_ASSIGN(record.admin, read_address(entry, "admin"));
+  record.region = base::region_id(entry.at("region").get<std::string>());
+  record.failure_domain = base::failure_domain_id(entry.at("failure_domain").get<std::string>());
+  BOOST_LEAF_ASSIGN(record.leaving, read_leaving(entry));
+  return record;
+}
+
+leaf::result<routing::upstream_record> read_upstream(const json& entry) {
+  routing::upstream_record record;
+  record.id = base::upstream_id(entry.at("upstream").get<std::string>());
+  record.service = base::service_id(entry.at("service").get<std::string>());
+  BOOST_LEAF_ASSIGN(record.where, read_address(entry, "address"));
+  record.region = base::region_id(entry.at("region").get<std::string>());
+  record.failure_domain = base::failure_domain_id(entry.at("failure_domain").get<std::string>());
+  record.slots = entry.at("slots").get<std::uint32_t>();
+  if (record.slots == 0) {
+    return malformed("host list: upstream \"" + record.id.value() + "\" has no slots");
+  }
+  BOOST_LEAF_ASSIGN(record.leaving, read_leaving(entry));
+  return record;
+}
+
+}  // namespace
+
+leaf::result<host_list> parse_host_list(const std::string& text) {
+  host_list list;
+  try {
+    const json document = json::parse(text);
+    for (const json& entry : document.at("gateways")) {
+      BOOST_LEAF_AUTO(record, read_gateway(entry));
+      list.gateways.push_back(std::move(record));
+    }
+    for (const json& entry : document.at("upstreams")) {
+      BOOST_LEAF_AUTO(record, read_upstream(entry));
+      list.upstreams.push_back(std::move(record));
+    }
+  } catch (const json::exception& error) {
+    return malformed(std::string("host list is malformed: ") + error.what());
+  }
+  return list;
+}
+
+leaf::result<host_list> fetch_host_list(const base::address& where, base::duration timeout) {
+  httplib::Client client(where.ip, where.port);
+  client.set_tcp_nodelay(true);
+  const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(timeout);
+  client.set_connection_timeout(seconds.count());
+  client.set_read_timeout(timeout);
+  const auto answer = client.Get("/v1/hosts");
+  if (!answer || answer->status != status_ok) {
+    return leaf::new_error(
+        net_error{net_error_kind::unreachable,
+                  "the host list at " + base::to_string(where) + " gave no answer"});
+  }
+  return parse_host_list(answer->body);
+}
+
+}  // namespace catkintack::net
--- /dev/null
+++ b/src/catkintack/net/peer_client.cpp
@@ -0,0 +1,61 @@
+#include "catkintack/net/peer_client.hpp"
+
+#include <sys/socket.h>
+
+#include <utility>
+
+#include "catkintack/net/peer_codec.hpp"
+
+namespace catkintack::net {
+namespace {
+
+constexpr std::size_t max_idle_streams = 16;
+
+bool closed_by_peer(const peer_stream& stream) {
+  char byte = 0;
+  const ssize_t count =
+      ::recv(stream.socket().descriptor(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+  return count >= 0;  // Nothing may be waiting on an idle stream, so data is as bad as an end.
+}
+
+}  // namespace
+
+peer_client::peer_client(std::string key) : key_(std::move(key)) {}
+
+boost::leaf::result<peer_stream> peer_client::take(const base::address& to,
+                                                   base::duration timeout) {
+  {
+    const std::lock_guard lock(mutex_);
+    std::vector<peer_stream>& pool = idle_[to];
+    while (!pool.empty()) {
+      peer_stream stream = std::move(pool.back());
+      pool.pop_back();
+      if (!closed_by_peer(stream)) {
+        stream.set_timeout(timeout);
+        return stream;
+      }
+    }
+  }
+  return peer_stream::connect(to, key_, timeout);
+}
+
+void peer_client::give_back(const base::address& to, peer_stream stream) {
+  const std::lock_guard lock(mutex_);
+  std::vector<peer_stream>& pool = idle_[to];
+  if (pool.size() < max_idle_streams) {
+    pool.push_back(std::move(stream));
+  }
+}
+
+boost::leaf::result<peer_response> peer_client::call(const base::address& to,
+                                                     const peer_request& request,
+                                                     base::duration timeout) {
+  BOOST_LEAF_AUTO(stream, take(to, timeout));
+  BOOST_LEAF_CHECK(stream.send(encode(request)));
+  BOOST_LEAF_AUTO(bytes, stream.receive());
+  BOOST_LEAF_AUTO(response, decode<peer_response>(bytes));
+  give_back(to, std::move(stream));
+  return response;
+}
+
+}  // namespace catkintack::net
--- /dev/null
+++ b/src/catkintack/net/peer_codec_test.cpp
@@ -0,0 +1,50 @@
+#include "catkintack/net/peer_codec.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "catkintack/membership/heartbeat.hpp"
+
+namespace catkintack::net {
+namespace {
+
+membership::heartbeat make_heartbeat() {
+  membership::heartbeat message;
+  message.host = base::host_id("gw-1");
+  message.run = base::incarnation(4);
+  message.sequence = 9;
+  return message;
+}
+
+TEST(peer_codec, reads_what_it_writes) {
+  const std::string sealed = seal("key", "context", encode(make_heartbeat()));
+  const auto payload = open_sealed("key", "context", sealed);
+  ASSERT_TRUE(payload);
+  const auto message = decode<membership::heartbeat>(payload.value());
+  ASSERT_TRUE(message);
+  EXPECT_EQ(message.value().host.value(), "gw-1");
+  EXPECT_EQ(message.value().sequence, 9U);
+}
+
+TEST(peer_codec, refuses_strangers_and_other_contexts) {
+  const std::string sealed = seal("key", "context", "payload");
+  EXPECT_FALSE(open_sealed("other", "context", sealed));
+  EXPECT_FALSE(open_sealed("key", "other", sealed));
+  EXPECT_FALSE(open_sealed("key", "context", "short"));
+}
+
+RC_GTEST_PROP(peer_codec, altered_bytes_are_never_opened, ()) {
+  std::string sealed = seal("key", "", encode(make_heartbeat()));
+  const auto position = *rc::gen::inRange<std::size_t>(0, sealed.size());
+  const auto change = *rc::gen::inRange(1, 256);
+  sealed[position] = static_cast<char>(sealed[position] ^ change);
+  RC_ASSERT(!open_sealed("key", "", sealed));
+}
+
+RC_GTEST_PROP(peer_codec, any_bytes_decode_or_fail_cleanly, (const std::string& bytes)) {
+  const bool decoded = static_cast<bool>(decode<membership::heartbeat>(bytes));
+  RC_CLASSIFY(decoded, "decoded");
+}
+
+}  // namespace
+}  // namespace catkintack::net
--- /dev/null
+++ b/src/programs/catkintack.cpp
@@ -0,0 +1,82 @@
+/// @file
+/// The operators' command line: catkintack [OPTION...] COMMAND [WORD...].
+#include <popt.h>
+
+#include <iostream>
+#include <memory>
+#include <string>
+
+#include "catkintack/cli/command.hpp"
+
+namespace {
+
+using catkintack::cli::command_line;
+using catkintack::cli::exit_code;
+
+int report(const std::string& message) {
+  std::cerr << "catkintack: " << message << "; try catkintack --help\n";
+  return static_cast<int>(exit_code::usage);
+}
+
+struct raw_options {
+  const char* store = "127.0.0.1:9001";
+  const char* host_list = "127.0.0.1:9002";
+  const char* key = "";
+  int json = 0;
+  int version = 0;
+  double rate = 0;
+  int burst = 1;
+  int concurrent = 1;
+};
+
+int run(const raw_options& raw, command_line line) {
+  const auto store = catkintack::base::parse_address(raw.store);
+  const auto host_list = catkintack::base::parse_address(raw.host_list);
+  if (!store || !host_list) {
+    return report("--store and --host-list take IP:PORT");
+  }
+  if (raw.burst < 0 || raw.concurrent < 0) {
+    return report("--burst and --concurrent take numbers of 1 or more");
+  }
+  line.store = *store;
+  line.host_list = *host_list;
+  line.key = raw.key;
+  line.json = raw.json != 0;
+  line.rate_per_second = raw.rate;
+  line.burst = static_cast<unsigned>(raw.burst);
+  line.max_concurrent = static_cast<unsigned>(raw.concurrent);
+  return static_cast<int>(catkintack::cli::run_command(line, std::cout, std::cerr));
+}
+
+}  // namespace
+
+int main(int argc, const char** argv) {
+  raw_options raw;
+  const poptOption table[] = {
+      {"store", '\0', POPT_ARG_STRING, &raw.store, 0, "The store's address", "IP:PORT"},
+      {"host-list", '\0', POPT_ARG_STRING, &raw.host_list, 0, "The host list's address", "IP:PORT"},
+      {"key", '\0', POPT_ARG_STRING, &raw.key, 0, "A customer's key, for plans set", "KEY"},
+      {"rate", '\0', POPT_ARG_DOUBLE, &raw.rate, 0, "Requests per second", "R"},
+      {"burst", '\0', POPT_ARG_INT, &raw.burst, 0, "Requests at once above the rate", "B"},
+      {"concurrent", '\0', POPT_ARG_INT, &raw.concurrent, 0, "Requests in progress", "C"},
+      {"json", '\0', POPT_ARG_NONE, &raw.json, 0, "Write JSON", nullptr},
+      {"version", '\0', POPT_ARG_NONE, &raw.version, 0, "Show the version and exit", nullptr},
+      POPT_AUTOHELP POPT_TABLEEND};
+  const std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> context(
+      poptGetContext("catkintack", argc, argv, table, 0), &poptFreeContext);
+  poptSetOtherOptionHelp(context.get(),
+                         "[OPTION...] plans|allowances|status|timeline|check-settings [WORD...]");
+  const int parsed = poptGetNextOpt(context.get());
+  if (parsed < -1) {
+    return report(std::string(poptBadOption(context.get(), 0)) + ": " + poptStrerror(parsed));
+  }
+  if (raw.version != 0) {
+    std::cout << "catkintack " << CATKINTACK_VERSION << "\n";
+    return static_cast<int>(exit_code::ok);
+  }
+  command_line line;
+  while (const char* word = poptGetArg(context.get())) {
+    line.words.emplace_back(word);
+  }
+  return run(raw, std::move(line));
+}
--- /dev/null
+++ b/tests/session.cpp
@@ -0,0 +1,234 @@
+#include "session.hpp"
+
+#include <map>
+#include <sstream>
+#include <stdexcept>
+#include <vector>
+
+#include "catkintack/gateway/gateway.hpp"
+
+namespace catkintack::tests {
+namespace {
+
+using routing::attempt_result;
+
+/// The words of one line: a command, plain words, and name=value pairs.
+struct session_line {
+  base::instant time{};
+  std::vector<std::string> words;
+  std::map<std::string, std::string> options;
+
+  std::string option(const std::string& name, const std::string& otherwise = "") const {
+    const auto found = options.find(name);
+    return found == options.end() ? otherwise : found->second;
+  }
+  std::uint64_t number(const std::string& name, std::uint64_t otherwise) const {
+    const auto found = options.find(name);
+    return found == options.end() ? otherwise : std::stoull(found->second);
+  }
+  bool has(const std::string& name) const { return options.contains(name); }
+};
+
+session_line parse_line(const std::string& text) {
+  std::istringstream stream(text);
+  session_line line;
+  std::uint64_t milliseconds = 0;
+  if (!(stream >> milliseconds)) {
+    throw std::runtime_error("a session line must begin with a time in ms: " + text);
+  }
+  line.time = base::instant(std::chrono::milliseconds(milliseconds));
+  std::string word;
+  while (stream >> word) {
+    const auto equals = word.find('=');
+    if (equals == std::string::npos) {
+      line.words.push_back(word);
+    } else {
+      line.options[word.substr(0, equals)] = word.substr(equals + 1);
+    }
+  }
+  return line;
+}
+
+attempt_result parse_result(const std::string& text) {
+  for (const auto result :
+       {attempt_result::answered, attempt_result::refused, attempt_result::not_sent,
+        attempt_result::broken, attempt_result::timed_out, attempt_result::cancelled}) {
+    if (text == routing::to_string(result)) {
+      return result;
+    }
+  }
+  throw std::runtime_error("\"" + text + "\" is no attempt result");
+}
+
+class session {
+ public:
+  session()
+      : core_({},
+              base::seeded_random_hook(1),
+              [this](const std::string& part,
+                     const std::string& kind,
+                     const base::request_id& request,
+                     const std::vector<base::event_field>& fields) {
+                record(part, kind, request, fields);
+              }) {}
+
+  std::string run(const std::string& script) {
+    std::istringstream lines(script);
+    std::string text;
+    while (std::getline(lines, text)) {
+      if (!text.empty() && text[0] != '#') {
+        out_ << "> " << text << "\n";
+        step(parse_line(text));
+      }
+    }
+    return out_.str();
+  }
+
+ private:
+  void step(const session_line& line) {
+    const std::string& command = line.words.at(0);
+    if (command == "customer") {
+      const base::customer_id id(line.words.at(1));
+      plans_.customers[id] = {id, base::plan_id(line.words.at(2)), line.words.at(3)};
+    } else if (command == "allowance") {
+      add_allowance(line);
+    } else if (command == "lists") {
+      adopt(line);
+    } else if (command == "upstream") {
+      list_upstream(line);
+    } else if (command == "hosts") {
+      const auto hosts = static_cast<std::uint32_t>(std::stoul(line.words.at(1)));
+      feed(line, gateway::fleet_sized{hosts});
+    } else if (command == "call") {
+      call(line);
+    } else if (command == "end") {
+      end(line);
+    } else if (command == "tick") {
+      feed(line, gateway::tick{});
+    } else {
+      throw std::runtime_error("\"" + command + "\" is no session command");
+    }
+  }
+
+  void add_allowance(const session_line& line) {
+    config::allowance entry;
+    entry.plan = base::plan_id(line.words.at(1));
+    entry.service = base::service_id(line.words.at(2));
+    entry.rate_per_second = static_cast<double>(line.number("rate", 1000));
+    entry.burst = static_cast<std::uint32_t>(line.number("burst", 1000));
+    entry.max_concurrent = static_cast<std::uint32_t>(line.number("concurrent", 1000));
+    allowances_.allowances[{entry.plan, entry.service}] = entry;
+  }
+
+  void adopt(const session_line& line) {
+    plans_.version = base::list_version(line.number("plans", plans_.version.value()));
+    allowances_.version =
+        base::list_version(line.number("allowances", allowances_.version.value()));
+    feed(line, gateway::lists_adopted{std::make_shared<const config::lists>(plans_, allowances_)});
+  }
+
+  void list_upstream(const session_line& line) {
+    routing::upstream_record record;
+    record.id = base::upstream_id(line.words.at(1));
+    record.service = base::service_id(line.words.at(2));
+    record.region = base::region_id(line.option("region"));
+    record.failure_domain = base::failure_domain_id(line.option("failure_domain"));
+    record.slots = static_cast<std::uint32_t>(line.number("slots", 2));
+    record.leaving = line.has("leaving");
+    upstreams_[record.id] = record;
+    std::vector<routing::upstream_record> all;
+    for (const auto& [id, entry] : upstreams_) {
+      all.push_back(entry);
+    }
+    feed(line, gateway::upstreams_listed{all});
+  }
+
+  void call(const session_line& line) {
+    gateway::call_arrived event;
+    event.call = base::call_id(std::stoull(line.words.at(1)));
+    event.request = base::request_id(line.option("id"));
+    event.key_hash = line.option("key");
+    event.service = base::service_id(line.option("service"));
+    event.idempotent = line.has("idempotent");
+    if (line.has("left")) {
+      event.time_left = std::chrono::milliseconds(line.number("left", 0));
+    }
+    feed(line, event);
+  }
+
+  void end(const session_line& line) {
+    gateway::attempt_ended event;
+    event.call = base::call_id(std::stoull(line.words.at(1)));
+    event.attempt = base::attempt_number(line.number("attempt", 1));
+    event.result = parse_result(line.words.at(2));
+    if (event.result == attempt_result::answered) {
+      const int status = static_cast<int>(line.number("status", 200));
+      event.answer = std::make_shared<const delivery::answer>(
+          delivery::answer{status, {}, line.option("body")});
+    }
+    if (line.has("running")) {
+      routing::load_report report;
+      report.running = static_cast<std::uint32_t>(line.number("running", 0));
+      report.queued = static_cast<std::uint32_t>(line.number("queued", 0));
+      report.leaving = line.number("leaving", 0) != 0;
+      event.load = report;
+    }
+    feed(line, event);
+  }
+
+  void feed(const session_line& line, const gateway::gateway_event& event) {
+    for (const auto& action : core_.handle(line.time, event)) {
+      std::visit([this](const auto& concrete) { show(concrete); }, action);
+    }
+  }
+
+  void show(const gateway::send_attempt& action) {
+    out_ << "  send call " << action.call.value() << " attempt " << action.attempt.value() << " to "
+         << action.target.id.value() << "\n";
+  }
+
+  void show(const gateway::cancel_attempt& action) {
+    out_ << "  cancel call " << action.call.value() << " attempt " << action.attempt.value()
+         << "\n";
+  }
+
+  void show(const gateway::finish_call& action) {
+    out_ << "  finish call " << action.call.value() << " " << to_string(action.end.result)
+         << " status " << action.end.status;
+    if (action.end.upstream_answer) {
+      out_ << " body \"" << action.end.upstream_answer->body << "\"";
+    } else {
+      out_ << " \"" << action.end.message << "\"";
+    }
+    if (action.end.retry_after) {
+      out_ << " retry after " << action.end.retry_after->count() << "us";
+    }
+    out_ << "\n";
+  }
+
+  void record(const std::string& part,
+              const std::string& kind,
+              const base::request_id& request,
+              const std::vector<base::event_field>& fields) {
+    out_ << "  event " << part << " " << kind;
+    if (!request.empty()) {
+      out_ << " [" << request.value() << "]";
+    }
+    for (const base::event_field& field : fields) {
+      out_ << " " << field.name << "=" << field.value;
+    }
+    out_ << "\n";
+  }
+
+  std::ostringstream out_;
+  config::plans_list plans_;
+  config::allowances_list allowances_;
+  std::map<base::upstream_id, routing::upstream_record> upstreams_;
+  gateway::gateway core_;
+};
+
+}  // namespace
+
+std::string run_session(const std::string& script) { return session().run(script); }
+
+}  // namespace catkintack::tests
