Split the decision core by admission and attempts; wrap datagrams in a notice

Cause: the core's one file would be changed by routing, limits and delivery at the same time, and a call could hold only one attempt, so a hedge had no place. Datagrams carry a kind.

--- a/include/catkintack/daemon/control_loop.hpp
+++ b/include/catkintack/daemon/control_loop.hpp
@@ -18,6 +18,7 @@
 #include "catkintack/daemon/control_status.hpp"
 #include "catkintack/membership/peer_table.hpp"
 #include "catkintack/net/host_list.hpp"
+#include "catkintack/net/peer_notice.hpp"
 
 namespace catkintack::daemon {
 
@@ -64,7 +65,9 @@
   void post(task work);
   void run();
   void heartbeat();
+  void broadcast(net::peer_notice_kind kind, std::string body);
   void receive(const std::string& payload);
+  void receive_heartbeat(const std::string& body);
   void adopt(const config::shared_lists& lists);
   void publish();
 
--- a/include/catkintack/gateway/gateway.hpp
+++ b/include/catkintack/gateway/gateway.hpp
@@ -45,16 +45,23 @@
   std::vector<gateway_action> handle(base::instant now, const gateway_event& event);
 
  private:
+  struct attempt_in_flight {
+    base::attempt_number number;
+    base::upstream_id upstream;
+    base::instant sent_at{};
+  };
+
   struct call {
     base::request_id request;
     base::customer_id customer;
     base::service_id service;
     bool idempotent = false;
     base::instant deadline{};
-    base::instant sent_at{};
     base::attempt_number last_attempt;
+    std::vector<attempt_in_flight> in_flight;
     std::vector<base::upstream_id> tried;
     bool may_have_run = false;
+    bool finished = false;  ///< Its caller has the final answer; attempts may still be in flight.
   };
 
   void on(base::instant now, const call_arrived& event);
@@ -64,12 +71,17 @@
   void on(base::instant now, const upstreams_listed& event);
   void on(base::instant now, const fleet_sized& event);
 
+  // Admission, in gateway_admission.cpp.
   void admit(base::instant now, const call_arrived& event);
   void start(base::instant now, const call_arrived& event, const base::customer_id& customer);
+  void refuse(const call_arrived& event, const delivery::final_answer& end);
+
+  // Attempts, in gateway_attempts.cpp.
   bool attempt(base::instant now, base::call_id id, call& state);
   bool may_retry(base::instant now, const call& state) const;
+  void learn(base::instant now, call& state, const attempt_ended& event);
+  void give_up(base::call_id id, call& state, const attempt_ended& event);
   void finish(base::call_id id, call& state, const delivery::final_answer& end);
-  void refuse(const call_arrived& event, int status, std::string message);
 
   gateway_options options_;
   decision_recorder recorder_;
--- a/include/catkintack/membership/heartbeat.hpp
+++ b/include/catkintack/membership/heartbeat.hpp
@@ -13,7 +13,6 @@
   base::host_id host;
   base::incarnation run;
   std::uint64_t sequence = 0;  ///< Rises within an incarnation.
-  std::uint64_t time = 0;      ///< Hybrid clock of the sender.
   bool leaving = false;
   base::list_version plans;
   base::list_version allowances;
@@ -22,7 +21,7 @@
   /// @param archive The cereal archive.
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(host, run, sequence, time, leaving, plans, allowances);
+    archive(host, run, sequence, leaving, plans, allowances);
   }
 };
 
--- a/src/catkintack/daemon/control_loop.cpp
+++ b/src/catkintack/daemon/control_loop.cpp
@@ -94,33 +94,53 @@
   message.host = options_.host;
   message.run = options_.run;
   message.sequence = ++heartbeat_sequence_;
-  message.time = events_.stamp();
   message.leaving = leaving_;
   if (lists_) {
     message.plans = lists_->plans().version;
     message.allowances = lists_->allowances().version;
   }
-  const std::string payload = net::encode(message);
+  broadcast(net::peer_notice_kind::heartbeat, net::encode(message));
+  const auto live = peers_.live(clock_());
+  metrics_.set("live_peers", static_cast<double>(live.size()));
+  worker_.submit(gateway::fleet_sized{static_cast<std::uint32_t>(live.size() + 1)});
+  publish();
+}
+
+void control_loop::broadcast(net::peer_notice_kind kind, std::string body) {
+  const net::peer_notice notice{kind, options_.host, options_.run, events_.stamp(),
+                                std::move(body)};
+  const std::string payload = net::encode(notice);
   for (const membership::gateway_record& peer : hosts_.gateways) {
     if (peer.host != options_.host) {
       options_.send_datagram(peer.peers, payload);
     }
   }
-  const auto live = peers_.live(clock_());
-  metrics_.set("live_peers", static_cast<double>(live.size()));
-  worker_.submit(gateway::fleet_sized{static_cast<std::uint32_t>(live.size() + 1)});
-  publish();
 }
 
 void control_loop::receive(const std::string& payload) {
-  const auto message = net::decode<membership::heartbeat>(payload);
-  if (!message) {
+  const auto notice = net::decode<net::peer_notice>(payload);
+  if (!notice) {
     metrics_.add("peer_datagrams_malformed_total");
     return;
   }
-  if (peers_.on_heartbeat(clock_(), message.value())) {
-    events_.observe(message.value().time);
+  events_.observe(notice.value().time);
+  switch (notice.value().kind) {
+    case net::peer_notice_kind::heartbeat:
+      receive_heartbeat(notice.value().body);
+      return;
+    case net::peer_notice_kind::demand:
+      return;
+  }
+  metrics_.add("peer_datagrams_malformed_total");
+}
+
+void control_loop::receive_heartbeat(const std::string& body) {
+  const auto message = net::decode<membership::heartbeat>(body);
+  if (!message) {
+    metrics_.add("peer_datagrams_malformed_total");
+    return;
   }
+  peers_.on_heartbeat(clock_(), message.value());
 }
 
 void control_loop::adopt(const config::shared_lists& lists) {
--- /dev/null
+++ b/src/catkintack/gateway/own_answers.cpp
@@ -0,0 +1,23 @@
+#include "own_answers.hpp"
+
+#include <utility>
+
+namespace catkintack::gateway {
+namespace {
+
+constexpr int status_unavailable = 503;
+constexpr base::duration unavailable_retry_after = std::chrono::seconds(1);
+
+}  // namespace
+
+delivery::final_answer not_run(int status,
+                               std::string message,
+                               std::optional<base::duration> retry_after) {
+  return {delivery::outcome::not_run, status, nullptr, std::move(message), retry_after};
+}
+
+delivery::final_answer unavailable(std::string message) {
+  return not_run(status_unavailable, std::move(message), unavailable_retry_after);
+}
+
+}  // namespace catkintack::gateway
