End the control thread before the sockets that it sends through

Cause: in a planned stop the datagram socket was destroyed while the control thread could still send a heartbeat through it, a null dereference in a window of some milliseconds; found by reading. Ruled out: destroying the control loop first, since the receiving thread posts to it. Change: control_loop::stop() joins the thread; the order of the stop is admin, platform, control thread, datagrams.

--- a/include/catkintack/daemon/control_loop.hpp
+++ b/include/catkintack/daemon/control_loop.hpp
@@ -55,6 +55,9 @@
   /// @brief Announces that this host is leaving.
   void leave();
 
+  /// @brief Ends the thread; what is posted later is not done.
+  void stop();
+
   /// @brief The status last published.
   /// @return A copy.
   control_status status() const;
--- a/src/catkintack/daemon/control_loop.cpp
+++ b/src/catkintack/daemon/control_loop.cpp
@@ -27,8 +27,14 @@
       thread_([this] { run(); }) {}
 
 control_loop::~control_loop() {
-  post([this] { stopping_ = true; });
-  thread_.join();
+  stop();
+}
+
+void control_loop::stop() {
+  if (thread_.joinable()) {
+    post([this] { stopping_ = true; });
+    thread_.join();
+  }
 }
 
 void control_loop::post(task work) {
--- a/src/catkintack/daemon/daemon.cpp
+++ b/src/catkintack/daemon/daemon.cpp
@@ -86,9 +86,10 @@
   }
   const std::size_t open = worker_->open_calls();
   traffic_.reset();
+  admin_.reset();
   platform_.reset();
+  control_->stop();  // It sends through datagrams_, which in turn post to it.
   datagrams_.reset();
-  admin_.reset();
   control_.reset();
   log(log_level::info, "daemon", "stopped with " + std::to_string(open) + " calls open.");
   return open;
