Answer peers' TCP requests through a table of handlers by kind

Change: daemon/peer_dispatch holds one handler per kind; the daemon opens the peer server. The timeline command moves to a file of its own so that it can grow. Conclusion: wiring only; no kind has a handler yet.

--- a/include/catkintack/daemon/daemon.hpp
+++ b/include/catkintack/daemon/daemon.hpp
@@ -11,10 +11,12 @@
 #include "catkintack/daemon/admin_server.hpp"
 #include "catkintack/daemon/call_worker.hpp"
 #include "catkintack/daemon/control_loop.hpp"
+#include "catkintack/daemon/peer_dispatch.hpp"
 #include "catkintack/daemon/platform_poller.hpp"
 #include "catkintack/daemon/settings.hpp"
 #include "catkintack/daemon/traffic_server.hpp"
 #include "catkintack/net/peer_datagram.hpp"
+#include "catkintack/net/peer_server.hpp"
 
 namespace catkintack::daemon {
 
@@ -46,6 +48,8 @@
   std::unique_ptr<net::peer_datagram> datagrams_;
   std::unique_ptr<platform_poller> platform_;
   std::unique_ptr<traffic_server> traffic_;
+  peer_dispatch dispatch_;
+  std::unique_ptr<net::peer_server> peer_requests_;
   std::unique_ptr<http_listener> admin_;
 };
 
--- a/src/catkintack/cli/command.cpp
+++ b/src/catkintack/cli/command.cpp
@@ -2,15 +2,14 @@
 
 #include <httplib.h>
 
-#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <ostream>
 #include <utility>
 
+#include "catkintack/cli/timeline.hpp"
 #include "catkintack/config/key_hash.hpp"
 #include "catkintack/config/list_codec.hpp"
 #include "catkintack/config/list_keys.hpp"
-#include "catkintack/daemon/event_json.hpp"
 #include "catkintack/daemon/settings.hpp"
 #include "catkintack/net/host_list.hpp"
 #include "catkintack/net/http_store.hpp"
@@ -123,41 +122,6 @@
   return exit_code::ok;
 }
 
-std::vector<base::event_record> fetch_events(const membership::gateway_record& host) {
-  httplib::Client client(host.admin.ip, host.admin.port);
-  client.set_connection_timeout(1);
-  std::vector<base::event_record> events;
-  const auto answer = client.Get("/events");
-  if (!answer) {
-    return events;
-  }
-  const auto document = nlohmann::json::parse(answer->body, nullptr, false);
-  if (document.is_array()) {
-    for (const auto& value : document) {
-      events.push_back(daemon::event_from_json(value));
-    }
-  }
-  return events;
-}
-
-leaf::result<exit_code> run_timeline(const command_line& line, std::ostream& out) {
-  BOOST_LEAF_AUTO(hosts, net::fetch_host_list(line.host_list, host_list_timeout));
-  std::vector<base::event_record> merged;
-  for (const membership::gateway_record& host : hosts.gateways) {
-    for (base::event_record& record : fetch_events(host)) {
-      merged.push_back(std::move(record));
-    }
-  }
-  std::sort(merged.begin(), merged.end(), [](const auto& left, const auto& right) {
-    return std::tie(left.time, left.host, left.sequence) <
-           std::tie(right.time, right.host, right.sequence);
-  });
-  for (const base::event_record& record : merged) {
-    out << (line.json ? daemon::to_json(record).dump() : to_text(record)) << "\n";
-  }
-  return exit_code::ok;
-}
-
 leaf::result<exit_code> run_check_settings(const command_line& line, std::ostream& out) {
   if (line.words.size() != 2) {
     return leaf::new_error(usage_error{"check-settings takes one FILE"});
--- a/src/catkintack/daemon/control_loop.cpp
+++ b/src/catkintack/daemon/control_loop.cpp
@@ -26,9 +26,7 @@
       peers_({}),
       thread_([this] { run(); }) {}
 
-control_loop::~control_loop() {
-  stop();
-}
+control_loop::~control_loop() { stop(); }
 
 void control_loop::stop() {
   if (thread_.joinable()) {
--- a/src/catkintack/daemon/daemon.cpp
+++ b/src/catkintack/daemon/daemon.cpp
@@ -61,6 +61,14 @@
         daemon_error{"cannot bind UDP address " + base::to_string(settings_.peers)});
   }
   datagrams_ = std::move(datagrams.value());
+  auto peer_requests = net::peer_server::open(
+      {settings_.peers, settings_.peer_key},
+      [this](const net::peer_request& request) { return dispatch_.handle(request); });
+  if (!peer_requests) {
+    return leaf::new_error(
+        daemon_error{"cannot listen on TCP address " + base::to_string(settings_.peers)});
+  }
+  peer_requests_ = std::move(peer_requests.value());
   platform_hooks hooks;
   hooks.on_hosts = [this](net::host_list hosts) { control_->on_hosts(std::move(hosts)); };
   hooks.on_lists = [this](config::shared_lists lists) { control_->on_lists(std::move(lists)); };
@@ -85,6 +93,7 @@
     std::this_thread::sleep_for(stop_poll_interval);
   }
   const std::size_t open = worker_->open_calls();
+  peer_requests_.reset();
   traffic_.reset();
   admin_.reset();
   platform_.reset();
