At most once across hosts: ids that name their home, bounded memory, hand-over

Cause: any host ran any id, memory past its bound took a forgotten id for a fresh one, and an id could be answered with another customer's answer.

Weighed: a claim in the store per request, a home by hash, asking all hosts on a repeat, and ids made from a token of the host that hands them out. Only the last needs no agreement between hosts. A plain least-recently-used memory was ruled out: what it forgets looks fresh.

Change: ids are host.incarnation.epoch.unique. Only that incarnation runs them; other hosts emit forward_call. The registry forgets whole epochs and answers unknown for them; it is bounded in ids and bytes; ids are tied to customer and request by a hash. A planned stop closes the registry and hands its entries to a successor, which answers for them and runs none.

--- /dev/null
+++ b/include/catkintack/delivery/finished_request.hpp
@@ -0,0 +1,19 @@
+/// @file
+/// A finished request as it is remembered and handed over.
+#pragma once
+
+#include <cstdint>
+
+#include "catkintack/base/ids.hpp"
+#include "catkintack/delivery/final_answer.hpp"
+
+namespace catkintack::delivery {
+
+/// @brief An id, what it stood for, and its end.
+struct finished_request {
+  base::request_id id;
+  std::uint64_t fingerprint = 0;  ///< Hash of customer and request; a repeat must match it.
+  final_answer end;
+};
+
+}  // namespace catkintack::delivery
--- a/include/catkintack/gateway/gateway.hpp
+++ b/include/catkintack/gateway/gateway.hpp
@@ -4,13 +4,17 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "catkintack/base/event_record.hpp"
 #include "catkintack/base/hooks.hpp"
+#include "catkintack/delivery/handed_over_table.hpp"
+#include "catkintack/delivery/request_identity.hpp"
 #include "catkintack/delivery/request_registry.hpp"
 #include "catkintack/gateway/gateway_action.hpp"
 #include "catkintack/gateway/gateway_event.hpp"
@@ -31,6 +35,8 @@
   delivery::registry_options registry;
   base::duration default_time_left = std::chrono::seconds(5);  ///< For callers without deadline.
   std::uint32_t max_attempts = 3;                              ///< Per call, at least 1.
+  std::optional<delivery::home> self;      ///< Without it every id is this core's own.
+  std::size_t max_handed_over_tables = 8;  ///< The oldest go first; their ids are then unknown.
 };
 
 /// @brief Decides for every call of one host. Not thread-safe; each event is a short step.
@@ -44,6 +50,10 @@
   /// @return What is to be done, in order.
   std::vector<gateway_action> handle(base::instant now, const gateway_event& event);
 
+  /// @brief The ids of this incarnation, for its successor.
+  /// @return The registry.
+  const delivery::request_registry& registry() const { return registry_; }
+
  private:
   struct attempt_in_flight {
     base::attempt_number number;
@@ -64,6 +74,11 @@
     bool finished = false;  ///< Its caller has the final answer; attempts may still be in flight.
   };
 
+  struct waiting_call {
+    base::request_id request;
+    base::instant deadline{};
+  };
+
   void on(base::instant now, const call_arrived& event);
   void on(base::instant now, const attempt_ended& event);
   void on(base::instant now, const tick& event);
@@ -71,6 +86,25 @@
   void on(base::instant now, const upstreams_listed& event);
   void on(base::instant now, const fleet_sized& event);
 
+  void on(base::instant now, const forward_ended& event);
+  void on(base::instant now, const stop_begun& event);
+  void on(base::instant now, const handed_over& event);
+  void on(base::instant now, const successor_named& event);
+
+  // Request ids, in gateway_delivery.cpp.
+  void find_home(base::instant now, const call_arrived& event);
+  void arrive_at_home(base::instant now, const call_arrived& event, std::uint64_t epoch);
+  void arrive_at_successor(const call_arrived& event,
+                           const delivery::handed_over_table& table,
+                           std::uint64_t epoch);
+  void forward(base::instant now, const call_arrived& event, const base::host_id& host);
+  void answer_at_once(const call_arrived& event, const delivery::final_answer& end);
+  void finish_request(const base::request_id& request,
+                      bool idempotent,
+                      const delivery::final_answer& end);
+  void expire_waiting(base::instant now);
+  base::instant deadline_of(base::instant now, const call_arrived& event) const;
+
   // Admission, in gateway_admission.cpp.
   void admit(base::instant now, const call_arrived& event);
   void start(base::instant now, const call_arrived& event, const base::customer_id& customer);
@@ -91,6 +125,12 @@
   config::shared_lists lists_;
   std::unordered_map<base::call_id, call> calls_;
   std::vector<gateway_action> actions_;
+
+  std::map<delivery::home, delivery::handed_over_table> handed_over_;
+  std::vector<delivery::home> handed_over_order_;
+  std::map<delivery::home, base::host_id> successors_;
+  std::unordered_map<base::call_id, waiting_call> waiting_;  ///< Repeats of running requests.
+  std::unordered_map<base::call_id, base::request_id> forwarded_;
 };
 
 }  // namespace catkintack::gateway
--- a/include/catkintack/gateway/gateway_action.hpp
+++ b/include/catkintack/gateway/gateway_action.hpp
@@ -31,7 +31,14 @@
   delivery::final_answer end;
 };
 
+/// @brief Send the call on to the host that its id belongs to; report the end with forward_ended.
+struct forward_call {
+  base::call_id call;
+  base::host_id host;
+  base::instant deadline{};  ///< Give up then.
+};
+
 /// Anything that the decision core wants done.
-using gateway_action = std::variant<send_attempt, cancel_attempt, finish_call>;
+using gateway_action = std::variant<send_attempt, cancel_attempt, finish_call, forward_call>;
 
 }  // namespace catkintack::gateway
--- a/include/catkintack/gateway/gateway_event.hpp
+++ b/include/catkintack/gateway/gateway_event.hpp
@@ -12,6 +12,8 @@
 #include "catkintack/base/units.hpp"
 #include "catkintack/config/lists.hpp"
 #include "catkintack/delivery/answer.hpp"
+#include "catkintack/delivery/final_answer.hpp"
+#include "catkintack/delivery/handed_over_table.hpp"
 #include "catkintack/routing/attempt_result.hpp"
 #include "catkintack/routing/load_report.hpp"
 #include "catkintack/routing/upstream_record.hpp"
@@ -26,6 +28,8 @@
   base::service_id service;
   bool idempotent = false;                  ///< By method or by the service's setting.
   std::optional<base::duration> time_left;  ///< The caller's deadline; none for the default.
+  std::uint64_t fingerprint = 0;  ///< Hash of method, target and body; a repeat must match it.
+  bool forwarded = false;         ///< Sent on by another host; never sent on again.
 };
 
 /// @brief An attempt started by send_attempt has ended.
@@ -56,8 +60,36 @@
   std::uint32_t live_hosts = 1;
 };
 
+/// @brief A call sent on by forward_call has ended.
+struct forward_ended {
+  base::call_id call;
+  std::optional<delivery::final_answer> end;  ///< None when the other host gave no whole answer.
+};
+
+/// @brief This host stops as planned: ids that were never seen no longer run.
+struct stop_begun {};
+
+/// @brief Another incarnation stopped and left its finished ids to this host.
+struct handed_over {
+  delivery::hand_over_part part;
+};
+
+/// @brief Another incarnation stopped and left its finished ids to a host.
+struct successor_named {
+  delivery::home leaver;
+  base::host_id successor;
+};
+
 /// Anything that happens to the decision core.
-using gateway_event =
-    std::variant<call_arrived, attempt_ended, tick, lists_adopted, upstreams_listed, fleet_sized>;
+using gateway_event = std::variant<call_arrived,
+                                   attempt_ended,
+                                   tick,
+                                   lists_adopted,
+                                   upstreams_listed,
+                                   fleet_sized,
+                                   forward_ended,
+                                   stop_begun,
+                                   handed_over,
+                                   successor_named>;
 
 }  // namespace catkintack::gateway
--- a/src/catkintack/delivery/request_registry.cpp
+++ b/src/catkintack/delivery/request_registry.cpp
@@ -3,21 +3,62 @@
 #include <utility>
 
 namespace catkintack::delivery {
+namespace {
+
+constexpr int status_gone = 410;
+constexpr int status_bad_gateway = 502;
+
+std::size_t bytes_of(const final_answer& end) {
+  std::size_t bytes = end.message.size();
+  if (end.upstream_answer) {
+    bytes += end.upstream_answer->body.size();
+    for (const auto& [name, value] : end.upstream_answer->headers) {
+      bytes += name.size() + value.size();
+    }
+  }
+  return bytes;
+}
+
+}  // namespace
 
 request_registry::request_registry(registry_options options) : options_(options) {}
 
-registry_state request_registry::arrive(const base::request_id& id, base::call_id call) {
-  const auto [found, fresh] = entries_.try_emplace(id);
-  if (fresh) {
-    return registry_state::fresh;
+registry_state request_registry::arrive(const registry_arrival& arrival) {
+  const auto found = entries_.find(arrival.id);
+  if (found == entries_.end()) {
+    return arrive_unseen(arrival);
   }
-  if (found->second.running) {
-    found->second.waiting.push_back(call);
+  entry& known = found->second;
+  if (known.fingerprint != arrival.fingerprint) {
+    return registry_state::mismatched;
+  }
+  if (known.running) {
+    known.waiting.push_back(arrival.call);
     return registry_state::running;
   }
   return registry_state::finished;
 }
 
+registry_state request_registry::arrive_unseen(const registry_arrival& arrival) {
+  if (arrival.epoch < oldest_epoch_) {
+    return registry_state::forgotten;
+  }
+  if (arrival.epoch > newest_epoch_) {
+    return registry_state::never_issued;
+  }
+  if (closed_) {
+    return registry_state::closed;
+  }
+  entry& added = entries_[arrival.id];
+  added.epoch = arrival.epoch;
+  added.fingerprint = arrival.fingerprint;
+  if (++ids_in_newest_epoch_ >= options_.ids_per_epoch) {
+    ids_in_newest_epoch_ = 0;
+    ++newest_epoch_;
+  }
+  return registry_state::fresh;
+}
+
 const final_answer* request_registry::recorded(const base::request_id& id) const {
   const auto found = entries_.find(id);
   if (found == entries_.end() || found->second.running) {
@@ -29,26 +70,78 @@
 std::vector<base::call_id> request_registry::finish(const base::request_id& id,
                                                     const final_answer& end) {
   const auto found = entries_.find(id);
-  if (found == entries_.end()) {
+  if (found == entries_.end() || !found->second.running) {
     return {};
   }
-  std::vector<base::call_id> waiting = std::exchange(found->second.waiting, {});
-  if (end.result == outcome::not_run) {
+  entry& known = found->second;
+  std::vector<base::call_id> waiting = std::exchange(known.waiting, {});
+  if (end.result == outcome::not_run || known.epoch < oldest_epoch_) {
     entries_.erase(found);
     return waiting;
   }
-  found->second.running = false;
-  found->second.end = end;
-  finished_order_.push_back(id);
-  forget_oldest();
+  known.running = false;
+  known.end = recordable(end);
+  recorded_bytes_ += bytes_of(known.end);
+  finished_by_epoch_[known.epoch].push_back(&found->first);
+  ++finished_;
+  keep_bounds();
   return waiting;
 }
 
-void request_registry::forget_oldest() {
-  while (finished_order_.size() > options_.capacity) {
-    entries_.erase(finished_order_.front());
-    finished_order_.pop_front();
+void request_registry::amend(const base::request_id& id, const final_answer& end) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end() || found->second.running ||
+      found->second.end.result != outcome::unknown) {
+    return;
+  }
+  recorded_bytes_ -= bytes_of(found->second.end);
+  found->second.end = recordable(end);
+  recorded_bytes_ += bytes_of(found->second.end);
+  keep_bounds();
+}
+
+std::vector<finished_request> request_registry::entries() const {
+  std::vector<finished_request> all;
+  all.reserve(entries_.size());
+  for (const auto& [id, known] : entries_) {
+    const final_answer running{outcome::unknown, status_bad_gateway, nullptr,
+                               "the request was running when its host stopped", std::nullopt};
+    all.push_back({id, known.fingerprint, known.running ? running : known.end});
+  }
+  return all;
+}
+
+final_answer request_registry::recordable(const final_answer& end) const {
+  if (bytes_of(end) <= options_.max_answer_bytes) {
+    return end;
+  }
+  return {outcome::unknown, status_gone, nullptr,
+          "the request ran; its answer was too large to be kept for repeats", std::nullopt};
+}
+
+void request_registry::keep_bounds() {
+  while (finished_ > options_.capacity || recorded_bytes_ > options_.max_recorded_bytes) {
+    forget_oldest_epoch();
+  }
+}
+
+void request_registry::forget_oldest_epoch() {
+  if (oldest_epoch_ == newest_epoch_) {
+    ids_in_newest_epoch_ = 0;
+    ++newest_epoch_;
+  }
+  const auto forgotten = finished_by_epoch_.find(oldest_epoch_);
+  ++oldest_epoch_;
+  if (forgotten == finished_by_epoch_.end()) {
+    return;
+  }
+  for (const base::request_id* const id : forgotten->second) {
+    const auto found = entries_.find(*id);
+    recorded_bytes_ -= bytes_of(found->second.end);
+    entries_.erase(found);
+    --finished_;
   }
+  finished_by_epoch_.erase(forgotten);
 }
 
 }  // namespace catkintack::delivery
--- a/src/catkintack/gateway/gateway.cpp
+++ b/src/catkintack/gateway/gateway.cpp
@@ -17,7 +17,7 @@
   return std::exchange(actions_, {});
 }
 
-void gateway::on(base::instant /*now*/, const tick& /*event*/) {}
+void gateway::on(base::instant now, const tick& /*event*/) { expire_waiting(now); }
 
 void gateway::on(base::instant /*now*/, const lists_adopted& event) {
   lists_ = event.lists;
--- a/src/catkintack/gateway/gateway_admission.cpp
+++ b/src/catkintack/gateway/gateway_admission.cpp
@@ -18,25 +18,6 @@
 
 }  // namespace
 
-void gateway::on(base::instant now, const call_arrived& event) {
-  if (event.request.empty()) {
-    admit(now, event);
-    return;
-  }
-  switch (registry_.arrive(event.request, event.call)) {
-    case delivery::registry_state::fresh:
-      admit(now, event);
-      return;
-    case delivery::registry_state::running:
-      recorder_("delivery", "repeat_waits", event.request, {});
-      return;
-    case delivery::registry_state::finished:
-      recorder_("delivery", "repeat_answered", event.request, {});
-      actions_.emplace_back(finish_call{event.call, *registry_.recorded(event.request)});
-      return;
-  }
-}
-
 void gateway::admit(base::instant now, const call_arrived& event) {
   const config::customer* const customer = lists_->find_customer(event.key_hash);
   if (customer == nullptr) {
@@ -68,9 +49,7 @@
 void gateway::refuse(const call_arrived& event, const final_answer& end) {
   recorder_("gateway", "refused", event.request, {{"status", std::to_string(end.status)}});
   actions_.emplace_back(finish_call{event.call, end});
-  for (const base::call_id waiting : registry_.finish(event.request, end)) {
-    actions_.emplace_back(finish_call{waiting, end});
-  }
+  finish_request(event.request, event.idempotent, end);
 }
 
 void gateway::start(base::instant now,
@@ -81,7 +60,7 @@
   state.customer = customer;
   state.service = event.service;
   state.idempotent = event.idempotent;
-  state.deadline = now + event.time_left.value_or(options_.default_time_left);
+  state.deadline = deadline_of(now, event);
   call& stored = calls_.insert_or_assign(event.call, std::move(state)).first->second;
   if (!attempt(now, event.call, stored)) {
     finish(event.call, stored,
--- a/src/catkintack/gateway/gateway_attempts.cpp
+++ b/src/catkintack/gateway/gateway_attempts.cpp
@@ -63,6 +63,9 @@
   call& state = found->second;
   learn(now, state, event);
   if (state.finished) {
+    if (event.result == attempt_result::answered && !state.idempotent) {
+      registry_.amend(state.request, {outcome::answer, event.answer->status, event.answer, {}, {}});
+    }
     if (state.in_flight.empty()) {
       calls_.erase(found);
     }
@@ -104,9 +107,7 @@
     actions_.emplace_back(cancel_attempt{id, loser.number});
   }
   actions_.emplace_back(finish_call{id, end});
-  for (const base::call_id waiting : registry_.finish(state.request, end)) {
-    actions_.emplace_back(finish_call{waiting, end});
-  }
+  finish_request(state.request, state.idempotent, end);
   if (state.in_flight.empty()) {
     calls_.erase(id);
   }
--- /dev/null
+++ b/src/catkintack/gateway/gateway_delivery.cpp
@@ -0,0 +1,212 @@
+#include <xxhash.h>
+
+#include <utility>
+
+#include "catkintack/gateway/gateway.hpp"
+#include "own_answers.hpp"
+
+namespace catkintack::gateway {
+namespace {
+
+using delivery::final_answer;
+using delivery::handed_over_state;
+using delivery::outcome;
+using delivery::registry_state;
+
+constexpr int status_bad_request = 400;
+constexpr int status_mismatch = 422;
+constexpr int status_bad_gateway = 502;
+constexpr int status_timeout = 504;
+
+final_answer unknown(int status, std::string message) {
+  return {outcome::unknown, status, nullptr, std::move(message), std::nullopt};
+}
+
+/// Ties an id to its customer and its request, so that nobody gets the answer of another.
+std::uint64_t fingerprint_of(const call_arrived& event) {
+  const std::string text =
+      event.key_hash + "\n" + event.service.value() + "\n" + std::to_string(event.fingerprint);
+  return XXH3_64bits(text.data(), text.size());
+}
+
+final_answer mismatched() {
+  return not_run(status_mismatch, "the request id was used for another request");
+}
+
+}  // namespace
+
+void gateway::on(base::instant now, const call_arrived& event) {
+  if (event.idempotent || event.request.empty()) {
+    admit(now, event);
+  } else if (options_.self) {
+    find_home(now, event);
+  } else {
+    arrive_at_home(now, event, 0);
+  }
+}
+
+void gateway::find_home(base::instant now, const call_arrived& event) {
+  const auto identity = delivery::parse_identity(event.request);
+  if (!identity) {
+    answer_at_once(event,
+                   not_run(status_bad_request, "request id \"" + event.request.value() +
+                                                   "\" was not made from a Catkintack-Token"));
+    return;
+  }
+  if (identity->owner == *options_.self) {
+    arrive_at_home(now, event, identity->epoch);
+    return;
+  }
+  const auto table = handed_over_.find(identity->owner);
+  if (table != handed_over_.end()) {
+    arrive_at_successor(event, table->second, identity->epoch);
+    return;
+  }
+  const auto successor = successors_.find(identity->owner);
+  const base::host_id& host =
+      successor == successors_.end() ? identity->owner.host : successor->second;
+  if (event.forwarded || host == options_.self->host) {
+    answer_at_once(event, unknown(status_bad_gateway, "incarnation " + to_string(identity->owner) +
+                                                          " is gone; the request may have run"));
+    return;
+  }
+  forward(now, event, host);
+}
+
+void gateway::arrive_at_home(base::instant now, const call_arrived& event, std::uint64_t epoch) {
+  switch (registry_.arrive({event.request, epoch, fingerprint_of(event), event.call})) {
+    case registry_state::fresh:
+      admit(now, event);
+      return;
+    case registry_state::running:
+      recorder_("delivery", "repeat_waits", event.request, {});
+      waiting_[event.call] = {event.request, deadline_of(now, event)};
+      return;
+    case registry_state::finished:
+      recorder_("delivery", "repeat_answered", event.request, {});
+      actions_.emplace_back(finish_call{event.call, *registry_.recorded(event.request)});
+      return;
+    case registry_state::forgotten:
+      answer_at_once(event, unknown(status_bad_gateway,
+                                    "the request id is too old to be remembered; it may have run"));
+      return;
+    case registry_state::never_issued:
+      answer_at_once(event, not_run(status_bad_request,
+                                    "the request id was made from a token never given out"));
+      return;
+    case registry_state::mismatched:
+      answer_at_once(event, mismatched());
+      return;
+    case registry_state::closed:
+      answer_at_once(event, unavailable("this host is stopping; make a new request id elsewhere"));
+      return;
+  }
+}
+
+void gateway::arrive_at_successor(const call_arrived& event,
+                                  const delivery::handed_over_table& table,
+                                  std::uint64_t epoch) {
+  switch (table.find(event.request, epoch, fingerprint_of(event))) {
+    case handed_over_state::finished:
+      recorder_("delivery", "repeat_answered", event.request, {});
+      actions_.emplace_back(finish_call{event.call, table.recorded(event.request)});
+      return;
+    case handed_over_state::not_run:
+      answer_at_once(event, unavailable("the id's host stopped before the request ran; "
+                                        "make a new request id"));
+      return;
+    case handed_over_state::unknown:
+      answer_at_once(event, unknown(status_bad_gateway,
+                                    "the id's host stopped and what is known "
+                                    "of its ids is not complete; "
+                                    "the request may have run"));
+      return;
+    case handed_over_state::mismatched:
+      answer_at_once(event, mismatched());
+      return;
+  }
+}
+
+void gateway::forward(base::instant now, const call_arrived& event, const base::host_id& host) {
+  recorder_("delivery", "forwarded", event.request, {{"home", host.value()}});
+  forwarded_[event.call] = event.request;
+  actions_.emplace_back(forward_call{event.call, host, deadline_of(now, event)});
+}
+
+void gateway::on(base::instant /*now*/, const forward_ended& event) {
+  const auto found = forwarded_.find(event.call);
+  if (found == forwarded_.end()) {
+    return;
+  }
+  const final_answer end =
+      event.end.value_or(unknown(status_bad_gateway,
+                                 "the host that the request id belongs to gave no whole answer; "
+                                 "the request may have run"));
+  recorder_("delivery", "forward_ended", found->second, {{"outcome", to_string(end.result)}});
+  forwarded_.erase(found);
+  actions_.emplace_back(finish_call{event.call, end});
+}
+
+void gateway::on(base::instant /*now*/, const stop_begun& /*event*/) {
+  registry_.close();
+  recorder_("delivery", "closed", {}, {{"ids", std::to_string(registry_.size())}});
+}
+
+void gateway::on(base::instant /*now*/, const handed_over& event) {
+  const delivery::home& leaver = event.part.leaver;
+  const auto [table, added] = handed_over_.try_emplace(leaver);
+  table->second.add(event.part);
+  recorder_("delivery", "handed_over", {},
+            {{"from", to_string(leaver)}, {"ids", std::to_string(event.part.entries.size())}});
+  if (added) {
+    handed_over_order_.push_back(leaver);
+  }
+  if (handed_over_order_.size() > options_.max_handed_over_tables) {
+    handed_over_.erase(handed_over_order_.front());
+    handed_over_order_.erase(handed_over_order_.begin());
+  }
+}
+
+void gateway::on(base::instant /*now*/, const successor_named& event) {
+  successors_[event.leaver] = event.successor;
+  recorder_("delivery", "successor_named", {},
+            {{"leaver", to_string(event.leaver)}, {"successor", event.successor.value()}});
+}
+
+void gateway::answer_at_once(const call_arrived& event, const final_answer& end) {
+  recorder_("delivery", "answered_at_once", event.request, {{"outcome", to_string(end.result)}});
+  actions_.emplace_back(finish_call{event.call, end});
+}
+
+void gateway::finish_request(const base::request_id& request,
+                             bool idempotent,
+                             const final_answer& end) {
+  if (idempotent) {
+    return;
+  }
+  for (const base::call_id repeat : registry_.finish(request, end)) {
+    if (waiting_.erase(repeat) > 0) {
+      actions_.emplace_back(finish_call{repeat, end});
+    }
+  }
+}
+
+void gateway::expire_waiting(base::instant now) {
+  for (auto waiting = waiting_.begin(); waiting != waiting_.end();) {
+    if (now < waiting->second.deadline) {
+      ++waiting;
+      continue;
+    }
+    recorder_("delivery", "repeat_timed_out", waiting->second.request, {});
+    actions_.emplace_back(finish_call{
+        waiting->first,
+        unknown(status_timeout, "the request did not end before this repeat's deadline")});
+    waiting = waiting_.erase(waiting);
+  }
+}
+
+base::instant gateway::deadline_of(base::instant now, const call_arrived& event) const {
+  return now + event.time_left.value_or(options_.default_time_left);
+}
+
+}  // namespace catkintack::gateway
--- a/tests/session.cpp
+++ b/tests/session.cpp
@@ -1,6 +1,7 @@
 #include "session.hpp"
 
 #include <map>
+#include <memory>
 #include <sstream>
 #include <stdexcept>
 #include <vector>
@@ -62,16 +63,6 @@
 
 class session {
  public:
-  session()
-      : core_({},
-              base::seeded_random_hook(1),
-              [this](const std::string& part,
-                     const std::string& kind,
-                     const base::request_id& request,
-                     const std::vector<base::event_field>& fields) {
-                record(part, kind, request, fields);
-              }) {}
-
   std::string run(const std::string& script) {
     std::istringstream lines(script);
     std::string text;
@@ -85,9 +76,41 @@
   }
 
  private:
+  /// The core of one host; sessions without a host line have one without a name.
+  struct host {
+    delivery::home self;
+    std::unique_ptr<gateway::gateway> core;
+  };
+
+  void add_host(const std::string& name, std::uint64_t run) {
+    const delivery::home self{base::host_id(name), base::incarnation(run)};
+    gateway::gateway_options options;
+    if (!name.empty()) {
+      options.self = self;
+    }
+    hosts_[name] = {self, std::make_unique<gateway::gateway>(
+                              options, base::seeded_random_hook(1),
+                              [this](const std::string& part, const std::string& kind,
+                                     const base::request_id& request,
+                                     const std::vector<base::event_field>& fields) {
+                                record(part, kind, request, fields);
+                              })};
+  }
+
   void step(const session_line& line) {
     const std::string& command = line.words.at(0);
-    if (command == "customer") {
+    if (command == "host") {
+      add_host(line.words.at(1), line.number("run", 1));
+    } else if (command == "forward_end") {
+      end_forward(line);
+    } else if (command == "stop") {
+      feed(line, gateway::stop_begun{});
+    } else if (command == "hand_over") {
+      hand_over(line);
+    } else if (command == "successor") {
+      const host& leaver = hosts_.at(line.option("of"));
+      feed(line, gateway::successor_named{leaver.self, base::host_id(line.option("is"))});
+    } else if (command == "customer") {
       const base::customer_id id(line.words.at(1));
       plans_.customers[id] = {id, base::plan_id(line.words.at(2)), line.words.at(3)};
     } else if (command == "allowance") {
@@ -150,6 +173,7 @@
     event.key_hash = line.option("key");
     event.service = base::service_id(line.option("service"));
     event.idempotent = line.has("idempotent");
+    event.forwarded = line.has("forwarded");
     if (line.has("left")) {
       event.time_left = std::chrono::milliseconds(line.number("left", 0));
     }
@@ -176,25 +200,65 @@
     feed(line, event);
   }
 
+  void end_forward(const session_line& line) {
+    gateway::forward_ended event;
+    event.call = base::call_id(std::stoull(line.words.at(1)));
+    const std::string& result = line.words.at(2);
+    if (result == "answer") {
+      const auto body =
+          std::make_shared<const delivery::answer>(delivery::answer{200, {}, line.option("body")});
+      event.end = {delivery::outcome::answer, 200, body, {}, {}};
+    } else if (result != "lost") {
+      throw std::runtime_error("a forward ends with answer or lost, not \"" + result + "\"");
+    }
+    feed(line, event);
+  }
+
+  void hand_over(const session_line& line) {
+    const host& leaver = hosts_.at(line.option("from"));
+    const delivery::request_registry& registry = leaver.core->registry();
+    feed(line,
+         gateway::handed_over{{leaver.self, registry.oldest_epoch(), true, registry.entries()}});
+  }
+
+  /// Feeds the host named by at=, or every host.
   void feed(const session_line& line, const gateway::gateway_event& event) {
-    for (const auto& action : core_.handle(line.time, event)) {
-      std::visit([this](const auto& concrete) { show(concrete); }, action);
+    if (hosts_.empty()) {
+      add_host("", 0);
+    }
+    for (auto& [name, fed] : hosts_) {
+      if (line.has("at") && line.option("at") != name) {
+        continue;
+      }
+      host_shown_ = name;
+      for (const auto& action : fed.core->handle(line.time, event)) {
+        std::visit([this](const auto& concrete) { show(concrete); }, action);
+      }
     }
   }
 
+  std::ostream& indented() {
+    out_ << "  ";
+    return host_shown_.empty() ? out_ : out_ << host_shown_ << ": ";
+  }
+
+  void show(const gateway::forward_call& action) {
+    indented() << "forward call " << action.call.value() << " to " << action.host.value() << "\n";
+  }
+
   void show(const gateway::send_attempt& action) {
-    out_ << "  send call " << action.call.value() << " attempt " << action.attempt.value() << " to "
-         << action.target.id.value() << "\n";
+    indented() << "send call " << action.call.value() << " attempt " << action.attempt.value()
+               << " to " << action.target.id.value() << "\n";
   }
 
   void show(const gateway::cancel_attempt& action) {
-    out_ << "  cancel call " << action.call.value() << " attempt " << action.attempt.value()
-         << "\n";
+    indented() << "cancel call " << action.call.value() << " attempt " << action.attempt.value()
+               << "\n";
   }
 
   void show(const gateway::finish_call& action) {
-    out_ << "  finish call " << action.call.value() << " " << to_string(action.end.result)
-         << " status " << action.end.status;
+    indented() << "finish call " << action.call.value() << " " << to_string(action.end.result)
+               << " status " << action.end.status;
     if (action.end.upstream_answer) {
       out_ << " body \"" << action.end.upstream_answer->body << "\"";
     } else {
@@ -210,7 +274,7 @@
               const std::string& kind,
               const base::request_id& request,
               const std::vector<base::event_field>& fields) {
-    out_ << "  event " << part << " " << kind;
+    indented() << "event " << part << " " << kind;
     if (!request.empty()) {
       out_ << " [" << request.value() << "]";
     }
@@ -224,7 +288,8 @@
   config::plans_list plans_;
   config::allowances_list allowances_;
   std::map<base::upstream_id, routing::upstream_record> upstreams_;
-  gateway::gateway core_;
+  std::map<std::string, host> hosts_;
+  std::string host_shown_;
 };
 
 }  // namespace
