Forward calls to an id's home and hand finished ids over on a planned stop

Cause: the decision core asked for forwards that the daemon did not carry out, and a planned stop lost the memory of finished ids.

Ruled out: forwarding over the callers' HTTP port, which has no proof of who speaks.

Change: forwards and hand-overs go over the sealed peer connections; a host's token carries the newest epoch; requests that may not run twice need an id unless the service's setting says otherwise (428, not_run, token in the header).

Conclusion: repeats at another host meet their first copy.

--- a/include/catkintack/daemon/call_worker.hpp
+++ b/include/catkintack/daemon/call_worker.hpp
@@ -2,8 +2,10 @@
 /// Runs calls: carries out the decision core's actions for them.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <unordered_map>
 
 #include "catkintack/daemon/core_runner.hpp"
@@ -12,13 +14,23 @@
 
 namespace catkintack::daemon {
 
+/// Sends a call on to another host; nothing when no whole answer came back.
+using forward_hook =
+    std::function<std::optional<delivery::final_answer>(const base::host_id& host,
+                                                        const gateway::call_arrived& event,
+                                                        const net::upstream_request& request,
+                                                        base::instant deadline)>;
+
 /// @brief Connects the decision core with the upstreams. Safe for use by several threads.
 class call_worker {
  public:
   /// @brief Sets up the worker.
   /// @param core The decision core.
   /// @param clock The clock that the core's times belong to.
-  call_worker(std::unique_ptr<gateway::gateway> core, const base::clock_hook& clock);
+  /// @param forward Sends calls on; without it they count as lost.
+  call_worker(std::unique_ptr<gateway::gateway> core,
+              const base::clock_hook& clock,
+              forward_hook forward = {});
 
   /// @brief Runs a call to its end on the calling thread.
   /// @param event The call's arrival.
@@ -35,17 +47,30 @@
   /// @return Their number.
   std::size_t open_calls() const { return runner_.open_calls(); }
 
+  /// @brief The epoch that belongs into tokens for callers.
+  /// @return The newest epoch.
+  std::uint64_t newest_epoch() const { return runner_.newest_epoch(); }
+
+  /// @brief What a successor must know of this host's ids.
+  /// @param self This incarnation.
+  /// @return The whole table.
+  delivery::hand_over_part table(const delivery::home& self) const { return runner_.table(self); }
+
  private:
   using shared_request = std::shared_ptr<const net::upstream_request>;
 
   gateway::attempt_ended attempt(const gateway::send_attempt& action,
                                  const net::upstream_request& request);
+  void forward(const gateway::forward_call& action,
+               const gateway::call_arrived& event,
+               const net::upstream_request& request);
   void attempt_elsewhere(const gateway::send_attempt& action);
   void remember(base::call_id call, shared_request request);
   void forget(base::call_id call);
   shared_request find(base::call_id call);
 
   net::upstream_client upstreams_;
+  forward_hook forward_;
   core_runner runner_;
   std::mutex mutex_;
   std::unordered_map<base::call_id, shared_request> requests_;
--- a/include/catkintack/daemon/core_runner.hpp
+++ b/include/catkintack/daemon/core_runner.hpp
@@ -2,6 +2,7 @@
 /// Serializes the events of all threads into the decision core and hands out its actions.
 #pragma once
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -45,6 +46,15 @@
   /// @return Their number.
   std::size_t open_calls() const;
 
+  /// @brief The epoch that belongs into tokens for callers.
+  /// @return The newest epoch.
+  std::uint64_t newest_epoch() const { return newest_epoch_; }
+
+  /// @brief What a successor must know of this host's ids.
+  /// @param self This incarnation.
+  /// @return The whole table.
+  delivery::hand_over_part table(const delivery::home& self) const;
+
  private:
   using delivery_list =
       std::vector<std::pair<std::shared_ptr<call_mailbox>, gateway::gateway_action>>;
@@ -57,6 +67,7 @@
   mutable std::mutex mutex_;
   std::unordered_map<base::call_id, std::shared_ptr<call_mailbox>> mailboxes_;
   base::call_id last_call_;
+  std::atomic<std::uint64_t> newest_epoch_ = 0;
 };
 
 }  // namespace catkintack::daemon
--- a/include/catkintack/daemon/daemon.hpp
+++ b/include/catkintack/daemon/daemon.hpp
@@ -11,10 +11,13 @@
 #include "catkintack/daemon/admin_server.hpp"
 #include "catkintack/daemon/call_worker.hpp"
 #include "catkintack/daemon/control_loop.hpp"
+#include "catkintack/daemon/peer_calls.hpp"
+#include "catkintack/daemon/peer_directory.hpp"
 #include "catkintack/daemon/platform_poller.hpp"
 #include "catkintack/daemon/settings.hpp"
 #include "catkintack/daemon/traffic_server.hpp"
 #include "catkintack/net/peer_datagram.hpp"
+#include "catkintack/net/peer_server.hpp"
 
 namespace catkintack::daemon {
 
@@ -35,16 +38,22 @@
  private:
   daemon(const settings& settings, base::incarnation run);
   boost::leaf::result<void> open();
+  boost::leaf::result<void> open_peer_server();
+  void finish_calls(base::instant limit);
+  void hand_over(base::instant limit);
 
   settings settings_;
   base::incarnation run_;
   base::clock_hook clock_;
   base::event_log events_;
   base::metric_registry metrics_;
+  peer_directory directory_;
+  std::unique_ptr<peer_calls> peer_calls_;
   std::unique_ptr<call_worker> worker_;
   std::unique_ptr<control_loop> control_;
   std::unique_ptr<net::peer_datagram> datagrams_;
   std::unique_ptr<platform_poller> platform_;
+  std::unique_ptr<net::peer_server> peer_server_;
   std::unique_ptr<traffic_server> traffic_;
   std::unique_ptr<http_listener> admin_;
 };
--- a/include/catkintack/daemon/settings.hpp
+++ b/include/catkintack/daemon/settings.hpp
@@ -16,7 +16,8 @@
 
 /// @brief What is set for one service.
 struct service_settings {
-  bool idempotent = false;  ///< Whether every method of the service may safely run twice.
+  bool idempotent = false;         ///< Whether every method of the service may safely run twice.
+  bool require_request_id = true;  ///< Whether requests that may not run twice need an id.
 };
 
 /// @brief All settings of a daemon.
--- a/include/catkintack/daemon/traffic_server.hpp
+++ b/include/catkintack/daemon/traffic_server.hpp
@@ -10,6 +10,7 @@
 #include "catkintack/daemon/call_worker.hpp"
 #include "catkintack/daemon/http_listener.hpp"
 #include "catkintack/daemon/settings.hpp"
+#include "catkintack/delivery/request_identity.hpp"
 
 namespace catkintack::daemon {
 
@@ -18,12 +19,12 @@
  public:
   /// @brief Starts to listen.
   /// @param settings Where, and the limits.
-  /// @param token Given to callers to make request ids from.
+  /// @param self This incarnation, named in the tokens for callers.
   /// @param worker Runs the calls.
   /// @param metrics Counts the calls.
   /// @return The server, or a daemon_error.
   static boost::leaf::result<std::unique_ptr<traffic_server>> open(const settings& settings,
-                                                                   std::string token,
+                                                                   delivery::home self,
                                                                    call_worker& worker,
                                                                    base::metric_registry& metrics);
 
@@ -32,13 +33,15 @@
 
  private:
   traffic_server(const settings& settings,
-                 std::string token,
+                 delivery::home self,
                  call_worker& worker,
                  base::metric_registry& metrics);
   void add_routes(httplib::Server& server);
+  std::string token() const;
+  bool requires_id(const base::service_id& service) const;
 
   settings settings_;
-  std::string token_;
+  delivery::home self_;
   call_worker& worker_;
   base::metric_registry& metrics_;
   std::atomic<bool> leaving_ = false;
--- /dev/null
+++ b/include/catkintack/net/peer_delivery.hpp
@@ -0,0 +1,106 @@
+/// @file
+/// Wire forms of what hosts send each other about requests.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "catkintack/delivery/final_answer.hpp"
+#include "catkintack/delivery/handed_over_table.hpp"
+
+namespace catkintack::net {
+
+/// @brief Body of a forward_call request.
+struct forwarded_call {
+  base::request_id request;
+  std::string key_hash;
+  base::service_id service;
+  std::uint64_t time_left_us = 0;
+  std::uint64_t fingerprint = 0;
+  std::string method;
+  std::string target;
+  std::vector<std::pair<std::string, std::string>> headers;
+  std::string body;
+
+  /// @brief Serializes the message with cereal.
+  /// @param archive The cereal archive.
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(request, key_hash, service, time_left_us, fingerprint, method, target, headers, body);
+  }
+};
+
+/// @brief A delivery::final_answer; body of the response to forward_call.
+struct wire_end {
+  std::uint8_t outcome = 0;
+  std::int32_t status = 0;
+  std::string message;
+  std::vector<std::uint64_t> retry_after_us;  ///< None or one.
+  std::vector<delivery::answer> answer;       ///< None or one.
+
+  /// @brief Serializes the message with cereal.
+  /// @param archive The cereal archive.
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(outcome, status, message, retry_after_us, answer);
+  }
+};
+
+/// @brief A delivery::finished_request.
+struct wire_finished {
+  base::request_id id;
+  std::uint64_t fingerprint = 0;
+  wire_end end;
+
+  /// @brief Serializes the message with cereal.
+  /// @param archive The cereal archive.
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(id, fingerprint, end);
+  }
+};
+
+/// @brief Body of a hand_over request. It goes to the successor with entries, and then to every
+/// other host without any, to name the successor.
+struct hand_over_message {
+  base::host_id leaver;
+  base::incarnation run;
+  base::host_id successor;
+  std::uint64_t oldest_epoch = 0;
+  bool last = false;
+  std::vector<wire_finished> entries;
+
+  /// @brief Serializes the message with cereal.
+  /// @param archive The cereal archive.
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(leaver, run, successor, oldest_epoch, last, entries);
+  }
+};
+
+/// @brief Converts an end to its wire form.
+/// @param end The end.
+/// @return The wire form.
+wire_end to_wire(const delivery::final_answer& end);
+
+/// @brief Converts an end from its wire form.
+/// @param wire The wire form.
+/// @return The end, or nothing when it makes no sense.
+std::optional<delivery::final_answer> from_wire(const wire_end& wire);
+
+/// @brief Converts a part of a hand-over to its wire form.
+/// @param part The part.
+/// @param successor Who takes it.
+/// @return The wire form.
+hand_over_message to_wire(const delivery::hand_over_part& part, const base::host_id& successor);
+
+/// @brief Converts a part of a hand-over from its wire form.
+/// @param wire The wire form.
+/// @return The part, or nothing when an entry makes no sense.
+std::optional<delivery::hand_over_part> from_wire(const hand_over_message& wire);
+
+}  // namespace catkintack::net
--- a/src/catkintack/daemon/call_worker.cpp
+++ b/src/catkintack/daemon/call_worker.cpp
@@ -10,8 +10,11 @@
 
 }  // namespace
 
-call_worker::call_worker(std::unique_ptr<gateway::gateway> core, const base::clock_hook& clock)
+call_worker::call_worker(std::unique_ptr<gateway::gateway> core,
+                         const base::clock_hook& clock,
+                         forward_hook forward)
     : upstreams_({}, clock),
+      forward_(std::move(forward)),
       runner_(std::move(core),
               {clock, [this](const gateway::send_attempt& action) { attempt_elsewhere(action); },
                [this](const gateway::cancel_attempt& action) {
@@ -31,6 +34,10 @@
       runner_.end(call);
       return finished->end;
     }
+    if (const auto* const forwarded = std::get_if<gateway::forward_call>(&action)) {
+      forward(*forwarded, event, *shared);
+      continue;
+    }
     const gateway::attempt_ended end = attempt(std::get<gateway::send_attempt>(action), *shared);
     mailbox->attempt_ended();
     runner_.submit(end);
@@ -44,6 +51,16 @@
   return {action.call, action.attempt, end.result, end.answer, end.load, end.retry_after};
 }
 
+void call_worker::forward(const gateway::forward_call& action,
+                          const gateway::call_arrived& event,
+                          const net::upstream_request& request) {
+  gateway::forward_ended ended{action.call, std::nullopt};
+  if (forward_) {
+    ended.end = forward_(action.host, event, request, action.deadline);
+  }
+  runner_.submit(ended);
+}
+
 void call_worker::attempt_elsewhere(const gateway::send_attempt& action) {
   pool_.submit([this, action] {
     const shared_request request = find(action.call);
--- a/src/catkintack/daemon/core_runner.cpp
+++ b/src/catkintack/daemon/core_runner.cpp
@@ -49,6 +49,12 @@
   return mailboxes_.size();
 }
 
+delivery::hand_over_part core_runner::table(const delivery::home& self) const {
+  const std::lock_guard lock(mutex_);
+  const delivery::request_registry& registry = core_->registry();
+  return {self, registry.oldest_epoch(), false, registry.entries()};
+}
+
 core_runner::delivery_list core_runner::decide(const gateway::gateway_event& event) {
   delivery_list deliveries;
   for (gateway::gateway_action& action : core_->handle(hooks_.clock(), event)) {
@@ -57,6 +63,7 @@
       deliveries.emplace_back(found->second, std::move(action));
     }
   }
+  newest_epoch_ = core_->registry().newest_epoch();
   return deliveries;
 }
 
--- a/src/catkintack/daemon/daemon.cpp
+++ b/src/catkintack/daemon/daemon.cpp
@@ -13,13 +13,17 @@
 
 constexpr base::duration stop_poll_interval = std::chrono::milliseconds(10);
 constexpr base::duration announce_time = std::chrono::milliseconds(1500);
+constexpr base::duration hand_over_limit = std::chrono::seconds(5);  // Beyond the stop limit.
 
-std::unique_ptr<gateway::gateway> make_core(const settings& settings, base::event_log& events) {
+std::unique_ptr<gateway::gateway> make_core(const settings& settings,
+                                            base::incarnation run,
+                                            base::event_log& events) {
   gateway::gateway_options options;
   options.routing.region = settings.region;
   options.routing.failure_domain = settings.failure_domain;
   options.default_time_left = settings.default_time_left;
   options.max_attempts = settings.max_attempts;
+  options.self = {settings.host, run};
   return std::make_unique<gateway::gateway>(
       options, base::seeded_random_hook(base::entropy_seed()),
       [&events](std::string part, std::string kind, const base::request_id& request,
@@ -35,7 +39,19 @@
       run_(run),
       clock_(base::system_clock_hook()),
       events_({settings.host, run}, base::system_wall_clock_hook()),
-      worker_(std::make_unique<call_worker>(make_core(settings, events_), clock_)) {}
+      peer_calls_(std::make_unique<peer_calls>(delivery::home{settings.host, run},
+                                               settings.peer_key,
+                                               directory_,
+                                               clock_)),
+      worker_(std::make_unique<call_worker>(make_core(settings, run, events_),
+                                            clock_,
+                                            [this](const base::host_id& host,
+                                                   const gateway::call_arrived& event,
+                                                   const net::upstream_request& request,
+                                                   base::instant deadline) {
+                                              return peer_calls_->forward(host, event, request,
+                                                                          deadline);
+                                            })) {}
 
 leaf::result<std::unique_ptr<daemon>> daemon::start(const settings& settings,
                                                     base::incarnation run) {
@@ -62,12 +78,16 @@
   }
   datagrams_ = std::move(datagrams.value());
   platform_hooks hooks;
-  hooks.on_hosts = [this](net::host_list hosts) { control_->on_hosts(std::move(hosts)); };
+  hooks.on_hosts = [this](net::host_list hosts) {
+    directory_.update(hosts.gateways);
+    control_->on_hosts(std::move(hosts));
+  };
   hooks.on_lists = [this](config::shared_lists lists) { control_->on_lists(std::move(lists)); };
   platform_ = std::make_unique<platform_poller>(
       settings_.host_list, net::make_http_store({settings_.store}), std::move(hooks));
-  const std::string token = settings_.host.value() + "." + std::to_string(run_.value());
-  BOOST_LEAF_ASSIGN(traffic_, traffic_server::open(settings_, token, *worker_, metrics_));
+  BOOST_LEAF_CHECK(open_peer_server());
+  const delivery::home self{settings_.host, run_};
+  BOOST_LEAF_ASSIGN(traffic_, traffic_server::open(settings_, self, *worker_, metrics_));
   BOOST_LEAF_ASSIGN(admin_,
                     open_admin_server(settings_.admin,
                                       {settings_.host, run_, [this] { return control_->status(); },
@@ -75,17 +95,50 @@
   return {};
 }
 
+leaf::result<void> daemon::open_peer_server() {
+  net::peer_server_options options;
+  options.where = settings_.peers;
+  options.key = settings_.peer_key;
+  auto server = net::peer_server::open(options, [this](const net::peer_request& request) {
+    return peer_calls_->answer(*worker_, request);
+  });
+  if (!server) {
+    return leaf::new_error(
+        daemon_error{"cannot listen on TCP address " + base::to_string(settings_.peers)});
+  }
+  peer_server_ = std::move(server.value());
+  return {};
+}
+
+void daemon::finish_calls(base::instant limit) {
+  const base::instant announced = clock_() + announce_time;
+  while (clock_() < limit && (clock_() < announced || worker_->open_calls() > 0)) {
+    std::this_thread::sleep_for(stop_poll_interval);
+  }
+}
+
+void daemon::hand_over(base::instant limit) {
+  worker_->submit(gateway::stop_begun{});
+  std::vector<base::host_id> candidates;
+  for (const membership::heartbeat& peer : control_->status().peers) {
+    candidates.push_back(peer.host);
+  }
+  const auto successor = peer_calls_->hand_over(*worker_, candidates, limit);
+  log(log_level::info, "daemon",
+      successor ? "finished ids handed over to " + successor->value() + "."
+                : "finished ids handed over to no host.");
+}
+
 std::size_t daemon::stop() {
   log(log_level::info, "daemon", "leaving.");
   control_->leave();
   traffic_->set_leaving();
   const base::instant limit = clock_() + settings_.stop_limit;
-  const base::instant announced = clock_() + announce_time;
-  while (clock_() < limit && (clock_() < announced || worker_->open_calls() > 0)) {
-    std::this_thread::sleep_for(stop_poll_interval);
-  }
+  finish_calls(limit);
   const std::size_t open = worker_->open_calls();
+  hand_over(limit + hand_over_limit);
   traffic_.reset();
+  peer_server_.reset();
   platform_.reset();
   datagrams_.reset();
   admin_.reset();
--- /dev/null
+++ b/src/catkintack/daemon/peer_calls.cpp
@@ -0,0 +1,167 @@
+#include "catkintack/daemon/peer_calls.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "catkintack/net/peer_codec.hpp"
+
+namespace catkintack::daemon {
+namespace {
+
+using net::peer_request_kind;
+
+constexpr std::size_t max_part_bytes = 4U << 20U;
+constexpr std::size_t bytes_per_entry = 256;  // Beside the body; for cutting into parts.
+constexpr base::duration hand_over_limit = std::chrono::seconds(2);  // For each message.
+
+net::peer_response refused(std::string reason) { return {false, 0, std::move(reason)}; }
+
+std::size_t size_of(const delivery::finished_request& finished) {
+  const auto& answer = finished.end.upstream_answer;
+  return bytes_per_entry + finished.end.message.size() + (answer ? answer->body.size() : 0);
+}
+
+/// Cuts a table into parts that fit into one message each.
+std::vector<delivery::hand_over_part> cut(delivery::hand_over_part whole) {
+  std::vector<delivery::finished_request> entries = std::exchange(whole.entries, {});
+  std::vector<delivery::hand_over_part> parts(1, whole);
+  std::size_t bytes = 0;
+  for (delivery::finished_request& finished : entries) {
+    bytes += size_of(finished);
+    if (bytes > max_part_bytes) {
+      parts.push_back(whole);
+      bytes = size_of(finished);
+    }
+    parts.back().entries.push_back(std::move(finished));
+  }
+  parts.back().last = true;
+  return parts;
+}
+
+gateway::call_arrived to_event(const net::forwarded_call& call) {
+  gateway::call_arrived event;
+  event.request = call.request;
+  event.key_hash = call.key_hash;
+  event.service = call.service;
+  event.time_left = base::duration(call.time_left_us);
+  event.fingerprint = call.fingerprint;
+  event.forwarded = true;
+  return event;
+}
+
+}  // namespace
+
+peer_calls::peer_calls(delivery::home self,
+                       std::string key,
+                       const peer_directory& directory,
+                       base::clock_hook clock)
+    : self_(std::move(self)),
+      directory_(directory),
+      clock_(std::move(clock)),
+      client_(std::move(key)) {}
+
+std::optional<std::string> peer_calls::ask(const base::host_id& host,
+                                           peer_request_kind kind,
+                                           std::string body,
+                                           base::instant deadline) {
+  const auto peer = directory_.find(host);
+  const base::duration left = deadline - clock_();
+  if (!peer || left <= base::duration::zero()) {
+    return std::nullopt;
+  }
+  const net::peer_request request{self_.host, self_.run, kind, 0, std::move(body)};
+  const auto response = client_.call(peer->peers, request, left);
+  if (!response || !response.value().accepted) {
+    return std::nullopt;
+  }
+  return response.value().body;
+}
+
+std::optional<delivery::final_answer> peer_calls::forward(const base::host_id& host,
+                                                          const gateway::call_arrived& event,
+                                                          const net::upstream_request& request,
+                                                          base::instant deadline) {
+  net::forwarded_call call{event.request,     event.key_hash, event.service,  0,
+                           event.fingerprint, request.method, request.target, request.headers,
+                           request.body};
+  const base::duration left = std::max(deadline - clock_(), base::duration::zero());
+  call.time_left_us = static_cast<std::uint64_t>(left.count());
+  const auto body = ask(host, peer_request_kind::forward_call, net::encode(call), deadline);
+  if (!body) {
+    return std::nullopt;
+  }
+  const auto wire = net::decode<net::wire_end>(*body);
+  return wire ? net::from_wire(wire.value()) : std::nullopt;
+}
+
+std::optional<base::host_id> peer_calls::hand_over(const call_worker& worker,
+                                                   const std::vector<base::host_id>& candidates,
+                                                   base::instant deadline) {
+  const auto parts = cut(worker.table(self_));
+  for (const base::host_id& candidate : candidates) {
+    if (!send_table(parts, candidate, deadline)) {
+      continue;
+    }
+    const std::string notice =
+        net::encode(net::hand_over_message{self_.host, self_.run, candidate, 0, false, {}});
+    for (const membership::gateway_record& host : directory_.hosts()) {
+      if (host.host != self_.host && host.host != candidate) {
+        ask(host.host, peer_request_kind::hand_over, notice,
+            std::min(deadline, clock_() + hand_over_limit));
+      }
+    }
+    return candidate;
+  }
+  return std::nullopt;
+}
+
+bool peer_calls::send_table(const std::vector<delivery::hand_over_part>& parts,
+                            const base::host_id& successor,
+                            base::instant deadline) {
+  return std::all_of(parts.begin(), parts.end(), [&](const delivery::hand_over_part& part) {
+    const base::instant limit = std::min(deadline, clock_() + hand_over_limit);
+    const std::string body = net::encode(net::to_wire(part, successor));
+    return ask(successor, peer_request_kind::hand_over, body, limit).has_value();
+  });
+}
+
+net::peer_response peer_calls::answer(call_worker& worker, const net::peer_request& request) const {
+  switch (request.kind) {
+    case peer_request_kind::forward_call:
+      return run(worker, request.body);
+    case peer_request_kind::hand_over:
+      return take_over(worker, request.body);
+    case peer_request_kind::fetch_lists:
+      break;
+  }
+  return refused("this kind of request is not answered here");
+}
+
+net::peer_response peer_calls::run(call_worker& worker, const std::string& body) const {
+  const auto decoded = net::decode<net::forwarded_call>(body);
+  if (!decoded) {
+    return refused("the forwarded call is malformed");
+  }
+  const net::forwarded_call& call = decoded.value();
+  const auto end = worker.run(to_event(call), {call.method, call.target, call.headers, call.body});
+  return {true, 0, net::encode(net::to_wire(end))};
+}
+
+net::peer_response peer_calls::take_over(call_worker& worker, const std::string& body) const {
+  const auto message = net::decode<net::hand_over_message>(body);
+  if (!message) {
+    return refused("the hand-over is malformed");
+  }
+  const auto part = net::from_wire(message.value());
+  if (!part) {
+    return refused("the hand-over has an entry that makes no sense");
+  }
+  if (message.value().successor == self_.host) {
+    worker.submit(gateway::handed_over{*part});
+  } else {
+    worker.submit(gateway::successor_named{part->leaver, message.value().successor});
+  }
+  return {true, 0, {}};
+}
+
+}  // namespace catkintack::daemon
--- a/src/catkintack/daemon/settings.cpp
+++ b/src/catkintack/daemon/settings.cpp
@@ -73,10 +73,14 @@
   return rules;
 }
 
-key_rule service_rule(const std::string& section) {
+std::vector<key_rule> service_rules(const std::string& section) {
   const base::service_id service(section.substr(std::string(service_prefix).size()));
-  return {section, "idempotent", false, "whether all of the service's methods may run twice (no)",
-          flag_value([service](settings& s, bool v) { s.services[service].idempotent = v; })};
+  return {
+      {section, "idempotent", false, "whether all of the service's methods may run twice (no)",
+       flag_value([service](settings& s, bool v) { s.services[service].idempotent = v; })},
+      {section, "require_request_id", false,
+       "whether requests that may not run twice need a request id (yes)",
+       flag_value([service](settings& s, bool v) { s.services[service].require_request_id = v; })}};
 }
 
 class settings_parser {
@@ -144,7 +148,9 @@
 
   const key_rule* find_rule(const std::string& section, const std::string& key) {
     if (section.rfind(service_prefix, 0) == 0 && !known_section(section)) {
-      rules_.push_back(service_rule(section));
+      for (key_rule& rule : service_rules(section)) {
+        rules_.push_back(std::move(rule));
+      }
     }
     for (const key_rule& rule : rules_) {
       if (rule.section == section && rule.key == key) {
@@ -233,7 +239,9 @@
 std::string settings_reference() {
   std::string text;
   std::vector<key_rule> rules = all_rules();
-  rules.push_back(service_rule(std::string(service_prefix) + "NAME"));
+  for (key_rule& rule : service_rules(std::string(service_prefix) + "NAME")) {
+    rules.push_back(std::move(rule));
+  }
   for (const key_rule& rule : rules) {
     text += "[" + rule.section + "] " + rule.key + (rule.required ? " (required)" : "") + ": " +
             rule.meaning + "\n";
--- a/src/catkintack/daemon/traffic_server.cpp
+++ b/src/catkintack/daemon/traffic_server.cpp
@@ -1,6 +1,7 @@
 #include "catkintack/daemon/traffic_server.hpp"
 
 #include <httplib.h>
+#include <xxhash.h>
 
 #include <algorithm>
 #include <charconv>
@@ -18,6 +19,7 @@
 using delivery::outcome;
 
 constexpr int status_bad_request = 400;
+constexpr int status_precondition_required = 428;
 constexpr std::size_t max_request_id_length = 128;
 constexpr std::uint64_t max_time_left_ms = 300'000;
 
@@ -65,6 +67,13 @@
   return std::find(std::begin(methods), std::end(methods), method) != std::end(methods);
 }
 
+/// Hash of what a repeat must have in common with the first arrival.
+std::uint64_t fingerprint_of(const httplib::Request& request) {
+  const std::string head = request.method + " " + request.target + "\n";
+  return XXH3_64bits_withSeed(request.body.data(), request.body.size(),
+                              XXH3_64bits(head.data(), head.size()));
+}
+
 std::string seconds_text(base::duration span) {
   return std::to_string(std::chrono::ceil<std::chrono::seconds>(span).count());
 }
@@ -129,11 +138,11 @@
 
 boost::leaf::result<std::unique_ptr<traffic_server>> traffic_server::open(
     const settings& settings,
-    std::string token,
+    delivery::home self,
     call_worker& worker,
     base::metric_registry& metrics) {
   std::unique_ptr<traffic_server> server(
-      new traffic_server(settings, std::move(token), worker, metrics));
+      new traffic_server(settings, std::move(self), worker, metrics));
   http_listener_options options;
   options.where = settings.callers;
   options.max_connections = settings.max_connections;
@@ -146,14 +155,23 @@
 }
 
 traffic_server::traffic_server(const settings& settings,
-                               std::string token,
+                               delivery::home self,
                                call_worker& worker,
                                base::metric_registry& metrics)
-    : settings_(settings), token_(std::move(token)), worker_(worker), metrics_(metrics) {}
+    : settings_(settings), self_(std::move(self)), worker_(worker), metrics_(metrics) {}
+
+std::string traffic_server::token() const {
+  return delivery::make_token(self_, worker_.newest_epoch());
+}
+
+bool traffic_server::requires_id(const base::service_id& service) const {
+  const auto configured = settings_.services.find(service);
+  return configured == settings_.services.end() || configured->second.require_request_id;
+}
 
 void traffic_server::add_routes(httplib::Server& server) {
   const auto serve = [this](const httplib::Request& request, httplib::Response& response) {
-    response.set_header(headers::token, token_);
+    response.set_header(headers::token, token());
     if (leaving_) {
       response.set_header("Connection", "close");
     }
@@ -169,10 +187,18 @@
     const std::string key = request.get_header_value(headers::api_key);
     const auto configured = settings_.services.find(where.service);
     event.request = base::request_id(id);
+    event.fingerprint = fingerprint_of(request);
     event.key_hash = key.empty() ? "" : config::hash_key(key);
     event.service = where.service;
     event.idempotent = is_safe_method(request.method) ||
                        (configured != settings_.services.end() && configured->second.idempotent);
+    if (id.empty() && !event.idempotent && requires_id(where.service)) {
+      response.status = status_precondition_required;
+      write_error(response, outcome::not_run, "",
+                  "service \"" + where.service.value() +
+                      "\" needs a Catkintack-Request-Id made from this Catkintack-Token");
+      return;
+    }
     const final_answer end = worker_.run(event, to_upstream(request, where.target));
     metrics_.add(std::string("calls_total{outcome=\"") + to_string(end.result) + "\"}");
     write_answer(response, end, id);
