Share allowances between hosts by announced demand

Cause: even shares refuse most of a customer whose callers reach few hosts, and the concurrency share was computed from the host count alone.

Ruled out: shares from the newest reports alone. They add up to more than one while reports are on their way or lost.

Change: fleet_shares keeps the even split until a host announces that it is short, claims by the lowest demand of the last window and allows for the highest of its peers. limiter measures the demand, forgets idle accounts and takes its share from there.

The stated bound now has a term for joining hosts; the test counts them over one window.

--- a/include/catkintack/limits/limiter.hpp
+++ b/include/catkintack/limits/limiter.hpp
@@ -4,12 +4,13 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <utility>
 
 #include "catkintack/base/ids.hpp"
 #include "catkintack/base/units.hpp"
 #include "catkintack/config/allowance.hpp"
+#include "catkintack/limits/demand_report.hpp"
+#include "catkintack/limits/fleet_shares.hpp"
 
 namespace catkintack::limits {
 
@@ -19,9 +20,17 @@
   base::duration retry_after{};  ///< When a refused caller may come back.
 };
 
+/// @brief How long unused accounts are kept, and how demand is exchanged.
+struct limiter_options {
+  share_options shares;
+  base::duration idle_limit = std::chrono::seconds(120);  ///< Above burst / rate of any plan.
+};
+
 /// @brief This host's share of every customer's allowance. Not thread-safe.
 class limiter {
  public:
+  explicit limiter(limiter_options options = {});
+
   /// @brief Sets how many hosts share the allowances.
   /// @param live_hosts Hosts believed to serve, at least 1.
   void set_live_hosts(std::uint32_t live_hosts);
@@ -40,15 +49,57 @@
   /// @param service The service.
   void release(const base::customer_id& customer, const base::service_id& service);
 
+  /// @brief Whether peers are to be told of this host's demand.
+  /// @param now The time.
+  /// @return True once an interval after the demand before.
+  bool demand_due(base::instant now) const { return shares_.due(now); }
+
+  /// @brief Measures demand since the call before, and forgets unused accounts.
+  /// @param now The time.
+  /// @return What peers are to be told; nothing when it has no entries.
+  demand_report demand(base::instant now);
+
+  /// @brief Takes in a peer's demand.
+  /// @param now The time.
+  /// @param host The peer.
+  /// @param report Its report.
+  void on_peer_demand(base::instant now, const base::host_id& host, const demand_report& report);
+
+  /// @brief Requests in progress of a customer at a service.
+  /// @param customer The customer.
+  /// @param service The service.
+  /// @return Their number.
+  std::uint32_t running(const base::customer_id& customer, const base::service_id& service) const;
+
+  /// @brief Accounts kept.
+  /// @return Their number.
+  std::size_t accounts() const { return accounts_.size(); }
+
  private:
-  struct bucket {
+  struct account {
+    account_key key = 0;
     double tokens = 0;
     base::instant filled_at{};
+    base::instant used_at{};
     std::uint32_t running = 0;
+    double rate_per_second = 0;     ///< Of the allowance last seen.
+    double max_concurrent = 1;      ///< Of the allowance last seen.
+    std::uint32_t arrivals = 0;     ///< Since the demand before.
+    std::uint32_t most_wanted = 0;  ///< Most requests in progress and refused, since then.
+    double demand = 0;              ///< Smoothed, as a part of the allowance.
   };
+  using account_name = std::pair<base::customer_id, base::service_id>;
+
+  account& find_or_add(base::instant now,
+                       const base::customer_id& customer,
+                       const config::allowance& allowance);
+  static void refill(base::instant now, account& entry, double rate, double burst);
+  static void measure(account& entry, double seconds);
 
-  std::uint32_t live_hosts_ = 1;
-  std::map<std::pair<base::customer_id, base::service_id>, bucket> buckets_;
+  limiter_options options_;
+  fleet_shares shares_;
+  base::instant measured_at_{};
+  std::map<account_name, account> accounts_;
 };
 
 }  // namespace catkintack::limits
--- /dev/null
+++ b/src/catkintack/limits/fleet_shares_test.cpp
@@ -0,0 +1,222 @@
+#include "catkintack/limits/fleet_shares.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <numeric>
+#include <vector>
+
+namespace catkintack::limits {
+namespace {
+
+constexpr account_key account = 7;
+constexpr base::duration interval = std::chrono::seconds(1);
+constexpr int most_losses = 2;  // In a row; the window holds three reports.
+
+/// Hosts that exchange reports; every loss, delay and demand is drawn by the property.
+class fleet {
+ public:
+  explicit fleet(std::size_t hosts) {
+    for (std::size_t host = 0; host < hosts; ++host) {
+      add();
+    }
+  }
+
+  void add() {
+    share_options options;
+    options.run = base::incarnation(++last_run_);
+    hosts_.push_back(std::make_unique<fleet_shares>(options));
+    demand_.push_back(0);
+    count_all(hosts_.size());
+  }
+
+  void lose_last() {
+    hosts_.pop_back();
+    demand_.pop_back();
+    std::erase_if(losses_, [this](const auto& pair) {
+      return std::max(pair.first.first, pair.first.second) == hosts_.size();
+    });
+    count_all(hosts_.size());
+  }
+
+  void count_all(std::size_t believed) {
+    for (auto& host : hosts_) {
+      host->set_live_hosts(static_cast<std::uint32_t>(believed));
+    }
+  }
+
+  void set_demand(std::size_t host, double amount) { demand_[host] = amount; }
+
+  /// All hosts publish; delivered(from, to) says whether a report arrives, at once or late.
+  template <class Delivered>
+  void exchange(const Delivered& delivered) {
+    now_ += interval;
+    for (const late_report& late : late_) {
+      if (late.to < hosts_.size()) {
+        hosts_[late.to]->on_peer(now_, late.from, late.report);
+      }
+    }
+    late_.clear();
+    for (std::size_t from = 0; from < hosts_.size(); ++from) {
+      const demand_report report = hosts_[from]->publish(now_, {{account, demand_[from]}});
+      for (std::size_t to = 0; to < hosts_.size(); ++to) {
+        if (to != from) {
+          send(from, to, report, delivered(from, to));
+        }
+      }
+    }
+  }
+
+  double sum() const {
+    double total = 0;
+    for (const auto& host : hosts_) {
+      total += host->share(now_, account);
+    }
+    return total;
+  }
+
+  double share(std::size_t host) const { return hosts_[host]->share(now_, account); }
+  std::size_t size() const { return hosts_.size(); }
+
+ private:
+  struct late_report {
+    std::size_t to;
+    base::host_id from;
+    demand_report report;
+  };
+  enum class delivery { lost, at_once, late };
+
+  static base::host_id name(std::size_t host) { return base::host_id(std::to_string(host)); }
+
+  void send(std::size_t from, std::size_t to, const demand_report& report, int drawn) {
+    int& losses = losses_[{from, to}];
+    const bool may_lose = losses < most_losses;
+    const delivery way = drawn == 0 && may_lose ? delivery::lost
+                         : drawn == 1           ? delivery::late
+                                                : delivery::at_once;
+    losses = way == delivery::lost ? losses + 1 : 0;
+    if (way == delivery::at_once) {
+      hosts_[to]->on_peer(now_, name(from), report);
+    } else if (way == delivery::late) {
+      late_.push_back({to, name(from), report});
+    }
+  }
+
+  base::instant now_{};
+  std::uint64_t last_run_ = 0;
+  std::vector<std::unique_ptr<fleet_shares>> hosts_;
+  std::vector<double> demand_;
+  std::vector<late_report> late_;
+  std::map<std::pair<std::size_t, std::size_t>, int> losses_;
+};
+
+constexpr auto always = [](std::size_t, std::size_t) { return 2; };
+
+TEST(fleet_shares, splits_evenly_while_no_host_is_short) {
+  fleet hosts(4);
+  for (int round = 0; round < 10; ++round) {
+    hosts.exchange(always);
+    EXPECT_DOUBLE_EQ(hosts.share(0), 0.25);
+  }
+}
+
+TEST(fleet_shares, gives_nearly_all_to_the_one_host_that_has_the_callers) {
+  fleet hosts(17);
+  hosts.set_demand(0, 1);
+  for (int round = 0; round < 10; ++round) {
+    hosts.exchange(always);
+  }
+  EXPECT_GT(hosts.share(0), 0.9);
+  EXPECT_GT(hosts.share(1), 0.0);
+}
+
+TEST(fleet_shares, keeps_the_even_split_when_all_hosts_press_alike) {
+  fleet hosts(17);
+  for (std::size_t host = 0; host < hosts.size(); ++host) {
+    hosts.set_demand(host, 0.2);
+  }
+  for (int round = 0; round < 10; ++round) {
+    hosts.exchange(always);
+    EXPECT_NEAR(hosts.share(3), 1.0 / 17, 1e-9);
+  }
+}
+
+TEST(fleet_shares, a_host_that_was_paused_falls_to_the_floor) {
+  fleet_shares shares;
+  shares.set_live_hosts(2);
+  const base::instant start{};
+  shares.publish(start, {{account, 1.0}});
+  EXPECT_DOUBLE_EQ(shares.share(start + interval, account), 0.5);
+  EXPECT_DOUBLE_EQ(shares.share(start + 4 * interval, account), 0.05);
+}
+
+TEST(fleet_shares, ignores_a_report_older_than_the_one_it_has) {
+  fleet_shares shares;
+  shares.set_live_hosts(2);
+  const base::host_id peer("peer");
+  const base::incarnation run(1);
+  shares.on_peer({}, peer, {run, 9, {{account, 500, 20}}});
+  const double claimed = shares.share({}, account);
+  shares.on_peer({}, peer, {run, 8, {}});
+  EXPECT_DOUBLE_EQ(shares.share({}, account), claimed);
+  EXPECT_LT(claimed, 0.5);
+}
+
+TEST(fleet_shares, a_report_stays_within_its_bytes) {
+  fleet_shares shares;
+  shares.set_live_hosts(17);
+  std::vector<measured_demand> many;
+  for (account_key key = 0; key < 1000; ++key) {
+    many.push_back({key, 1.0});
+  }
+  const demand_report report = shares.publish({}, many);
+  const share_options limits;
+  const std::size_t sent = 16 * (limits.report_overhead + 7 * report.entries.size());
+  EXPECT_LE(sent, limits.bytes_per_second);
+  EXPECT_FALSE(report.entries.empty());
+}
+
+RC_GTEST_PROP(fleet_shares_property,
+              shares_never_add_up_to_more_than_one_under_losses_and_lag,
+              ()) {
+  fleet hosts(*rc::gen::inRange<std::size_t>(2, 8));
+  for (int round = 0; round < 40; ++round) {
+    const auto host = *rc::gen::inRange<std::size_t>(0, hosts.size());
+    hosts.set_demand(host, *rc::gen::inRange(0, 30) / 10.0);
+    hosts.exchange([](std::size_t, std::size_t) { return *rc::gen::inRange(0, 4); });
+    RC_ASSERT(hosts.sum() <= 1 + 1e-9);
+  }
+}
+
+RC_GTEST_PROP(fleet_shares_property, joins_and_leaves_keep_the_stated_bound, ()) {
+  constexpr std::size_t fewest = 2;
+  constexpr std::size_t most = 8;
+  fleet hosts(4);
+  std::deque<int> joined(share_options().window_reports + 1, 0);
+  for (int round = 0; round < 40; ++round) {
+    const int step = *rc::gen::inRange(0, 4);
+    if (step == 0 && hosts.size() < most) {
+      hosts.add();
+      ++joined.back();
+    } else if (step == 1 && hosts.size() > fewest) {
+      hosts.lose_last();
+    }
+    const auto believed = *rc::gen::inRange<std::size_t>(fewest, hosts.size() + 1);
+    hosts.count_all(believed);
+    hosts.set_demand(*rc::gen::inRange<std::size_t>(0, hosts.size()),
+                     *rc::gen::inRange(0, 30) / 10.0);
+    hosts.exchange([](std::size_t, std::size_t) { return *rc::gen::inRange(0, 4); });
+    const double bound = fleet_shares::overshoot_bound(
+        static_cast<std::uint32_t>(hosts.size()), static_cast<std::uint32_t>(believed), 1,
+        std::accumulate(joined.begin(), joined.end(), 0U));
+    RC_ASSERT(hosts.sum() <= bound + 1e-9);
+    joined.pop_front();
+    joined.push_back(0);
+  }
+}
+
+}  // namespace
+}  // namespace catkintack::limits
--- a/src/catkintack/limits/limiter_test.cpp
+++ b/src/catkintack/limits/limiter_test.cpp
@@ -1,6 +1,7 @@
 #include "catkintack/limits/limiter.hpp"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 namespace catkintack::limits {
 namespace {
@@ -34,5 +35,62 @@
   EXPECT_TRUE(limits.admit({}, customer, narrow).admitted);
 }
 
+TEST(limiter, a_lower_allowance_holds_from_the_next_request) {
+  limiter limits;
+  const base::customer_id customer("mercato");
+  config::allowance entry = make_allowance();
+  entry.burst = 100;
+  EXPECT_TRUE(limits.admit({}, customer, entry).admitted);
+  entry.burst = 1;
+  entry.max_concurrent = 1;
+  EXPECT_FALSE(limits.admit({}, customer, entry).admitted);
+}
+
+TEST(limiter, forgets_accounts_that_are_idle_but_never_one_with_work_in_progress) {
+  limiter limits;
+  const base::customer_id idle("idle");
+  const base::customer_id busy("busy");
+  limits.admit({}, idle, make_allowance());
+  limits.admit({}, busy, make_allowance());
+  limits.release(idle, make_allowance().service);
+  limits.demand(base::instant(std::chrono::hours(1)));
+  EXPECT_EQ(limits.accounts(), 1U);
+  EXPECT_EQ(limits.running(busy, make_allowance().service), 1U);
+}
+
+RC_GTEST_PROP(limiter_property, admitted_stays_within_rate_and_concurrency, ()) {
+  constexpr std::uint32_t hosts = 4;
+  limiter limits;
+  limits.set_live_hosts(hosts);
+  const base::customer_id customer("mercato");
+  const config::allowance entry{base::plan_id("gold"), base::service_id("scan-service"), 40, 8, 16};
+  base::instant now{};
+  std::uint32_t running = 0;
+  std::uint32_t admitted = 0;
+  for (int step = 0; step < 200; ++step) {
+    now += std::chrono::milliseconds(*rc::gen::inRange(0, 50));
+    if (*rc::gen::arbitrary<bool>() && running > 0) {
+      limits.release(customer, entry.service);
+      --running;
+    } else if (limits.admit(now, customer, entry).admitted) {
+      ++running;
+      ++admitted;
+    }
+    RC_ASSERT(limits.running(customer, entry.service) == running);
+    RC_ASSERT(running <= entry.max_concurrent / hosts);
+    const double most = 8.0 / hosts + base::to_seconds(now.time_since_epoch()) * 40 / hosts;
+    RC_ASSERT(admitted <= most + 1e-6);
+  }
+}
+
+TEST(limiter, a_release_too_many_never_makes_the_count_negative) {
+  limiter limits;
+  const base::customer_id customer("mercato");
+  limits.admit({}, customer, make_allowance());
+  limits.release(customer, make_allowance().service);
+  limits.release(customer, make_allowance().service);
+  EXPECT_EQ(limits.running(customer, make_allowance().service), 0U);
+}
+
 }  // namespace
 }  // namespace catkintack::limits
