Budget retries over the call chain, and exchange demand over the daemon

Cause: each level retried on its own, so that a failing level multiplies with the depth; and the demand of allowances had no way to peers.

Ruled out: handing the whole budget down and learning from the answer what was spent. The services between two gateways need not pass such a header on, so a lost answer leaves it open.

Change: a call keeps one extra attempt per level and hands the rest down in Catkintack-Retries-Left; an attempt that may have run spends it. Refusals cost only the service's bucket, and those marked Catkintack-Shed are not retried. The core publishes demand on ticks; control_loop broadcasts and receives it.

--- a/include/catkintack/daemon/call_worker.hpp
+++ b/include/catkintack/daemon/call_worker.hpp
@@ -2,6 +2,7 @@
 /// Runs calls: carries out the decision core's actions for them.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <unordered_map>
@@ -31,6 +32,12 @@
   /// @param event The event.
   void submit(const gateway::gateway_event& event) { runner_.submit(event); }
 
+  /// @brief Sets who tells peers this host's demand; set before the first tick.
+  /// @param hook The hook, called by the thread that submits ticks.
+  void on_demand(std::function<void(const gateway::publish_demand&)> hook) {
+    demand_hook_ = std::move(hook);
+  }
+
   /// @brief Calls in progress.
   /// @return Their number.
   std::size_t open_calls() const { return runner_.open_calls(); }
@@ -45,6 +52,7 @@
   void forget(base::call_id call);
   shared_request find(base::call_id call);
 
+  std::function<void(const gateway::publish_demand&)> demand_hook_ = [](const auto&) {};
   net::upstream_client upstreams_;
   core_runner runner_;
   std::mutex mutex_;
--- a/include/catkintack/daemon/control_loop.hpp
+++ b/include/catkintack/daemon/control_loop.hpp
@@ -68,6 +68,7 @@
   void broadcast(net::peer_notice_kind kind, std::string body);
   void receive(const std::string& payload);
   void receive_heartbeat(const std::string& body);
+  void receive_demand(const net::peer_notice& notice);
   void adopt(const config::shared_lists& lists);
   void publish();
 
--- a/include/catkintack/daemon/core_runner.hpp
+++ b/include/catkintack/daemon/core_runner.hpp
@@ -21,6 +21,8 @@
   std::function<void(const gateway::send_attempt&)> run_elsewhere;
   /// Breaks an attempt in flight.
   std::function<void(const gateway::cancel_attempt&)> cancel;
+  /// Tells all peers this host's demand.
+  std::function<void(const gateway::publish_demand&)> publish_demand;
 };
 
 /// @brief The decision core behind a lock that is held for one decision, never across a call.
--- a/include/catkintack/gateway/gateway.hpp
+++ b/include/catkintack/gateway/gateway.hpp
@@ -15,6 +15,7 @@
 #include "catkintack/gateway/gateway_action.hpp"
 #include "catkintack/gateway/gateway_event.hpp"
 #include "catkintack/limits/limiter.hpp"
+#include "catkintack/limits/retry_budget.hpp"
 #include "catkintack/routing/router.hpp"
 
 namespace catkintack::gateway {
@@ -31,6 +32,8 @@
   delivery::registry_options registry;
   base::duration default_time_left = std::chrono::seconds(5);  ///< For callers without deadline.
   std::uint32_t max_attempts = 3;                              ///< Per call, at least 1.
+  limits::limiter_options limiter;
+  limits::retry_budget_options retries;
 };
 
 /// @brief Decides for every call of one host. Not thread-safe; each event is a short step.
@@ -61,6 +64,10 @@
     std::vector<attempt_in_flight> in_flight;
     std::vector<base::upstream_id> tried;
     bool may_have_run = false;
+    std::uint32_t depth = 0;
+    std::uint32_t retries_left = 0;  ///< Extra attempts that this and all levels below may make.
+    bool shed = false;               ///< An upstream refused it for load.
+    routing::attempt_result last_result = routing::attempt_result::not_sent;
     bool finished = false;  ///< Its caller has the final answer; attempts may still be in flight.
   };
 
@@ -70,6 +77,7 @@
   void on(base::instant now, const lists_adopted& event);
   void on(base::instant now, const upstreams_listed& event);
   void on(base::instant now, const fleet_sized& event);
+  void on(base::instant now, const peer_demand_received& event);
 
   // Admission, in gateway_admission.cpp.
   void admit(base::instant now, const call_arrived& event);
@@ -78,7 +86,7 @@
 
   // Attempts, in gateway_attempts.cpp.
   bool attempt(base::instant now, base::call_id id, call& state);
-  bool may_retry(base::instant now, const call& state) const;
+  bool may_retry(base::instant now, call& state);
   void learn(base::instant now, call& state, const attempt_ended& event);
   void give_up(base::call_id id, call& state, const attempt_ended& event);
   void finish(base::call_id id, call& state, const delivery::final_answer& end);
@@ -87,6 +95,7 @@
   decision_recorder recorder_;
   routing::router router_;
   limits::limiter limiter_;
+  limits::retry_budget retry_budget_;
   delivery::request_registry registry_;
   config::shared_lists lists_;
   std::unordered_map<base::call_id, call> calls_;
--- a/include/catkintack/gateway/gateway_action.hpp
+++ b/include/catkintack/gateway/gateway_action.hpp
@@ -2,11 +2,13 @@
 /// What the decision core wants done.
 #pragma once
 
+#include <cstdint>
 #include <variant>
 
 #include "catkintack/base/ids.hpp"
 #include "catkintack/base/units.hpp"
 #include "catkintack/delivery/final_answer.hpp"
+#include "catkintack/limits/demand_report.hpp"
 #include "catkintack/routing/upstream_record.hpp"
 
 namespace catkintack::gateway {
@@ -16,7 +18,9 @@
   base::call_id call;
   base::attempt_number attempt;
   routing::upstream_record target;
-  base::instant deadline{};  ///< Give up then; never send later than this.
+  base::instant deadline{};        ///< Give up then; never send later than this.
+  std::uint32_t depth = 0;         ///< Gateways that the call crossed, this one included.
+  std::uint32_t retries_left = 0;  ///< Extra attempts that the levels below may make.
 };
 
 /// @brief Cancel an attempt in flight; its end is still reported.
@@ -31,7 +35,12 @@
   delivery::final_answer end;
 };
 
+/// @brief Tell all peers this host's demand of the allowances.
+struct publish_demand {
+  limits::demand_report report;
+};
+
 /// Anything that the decision core wants done.
-using gateway_action = std::variant<send_attempt, cancel_attempt, finish_call>;
+using gateway_action = std::variant<send_attempt, cancel_attempt, finish_call, publish_demand>;
 
 }  // namespace catkintack::gateway
--- a/include/catkintack/gateway/gateway_event.hpp
+++ b/include/catkintack/gateway/gateway_event.hpp
@@ -12,6 +12,7 @@
 #include "catkintack/base/units.hpp"
 #include "catkintack/config/lists.hpp"
 #include "catkintack/delivery/answer.hpp"
+#include "catkintack/limits/demand_report.hpp"
 #include "catkintack/routing/attempt_result.hpp"
 #include "catkintack/routing/load_report.hpp"
 #include "catkintack/routing/upstream_record.hpp"
@@ -24,8 +25,10 @@
   base::request_id request;  ///< Empty when the caller gave none.
   std::string key_hash;      ///< SHA-256 of the customer's key; empty without key.
   base::service_id service;
-  bool idempotent = false;                  ///< By method or by the service's setting.
-  std::optional<base::duration> time_left;  ///< The caller's deadline; none for the default.
+  bool idempotent = false;                    ///< By method or by the service's setting.
+  std::optional<base::duration> time_left;    ///< The caller's deadline; none for the default.
+  std::uint32_t depth = 0;                    ///< Gateways that the call crossed before this one.
+  std::optional<std::uint32_t> retries_left;  ///< What the level above lets this and all below.
 };
 
 /// @brief An attempt started by send_attempt has ended.
@@ -36,6 +39,7 @@
   delivery::shared_answer answer;             ///< Set when the result is answered.
   std::optional<routing::load_report> load;   ///< The upstream's report, if it gave one.
   std::optional<base::duration> retry_after;  ///< The upstream's word on when to come back.
+  bool shed = false;  ///< The refusal came from load; it is not to be retried here.
 };
 
 /// @brief Time has passed; sent every few milliseconds.
@@ -56,8 +60,19 @@
   std::uint32_t live_hosts = 1;
 };
 
+/// @brief A peer has told its demand of the allowances.
+struct peer_demand_received {
+  base::host_id host;
+  limits::demand_report report;
+};
+
 /// Anything that happens to the decision core.
-using gateway_event =
-    std::variant<call_arrived, attempt_ended, tick, lists_adopted, upstreams_listed, fleet_sized>;
+using gateway_event = std::variant<call_arrived,
+                                   attempt_ended,
+                                   tick,
+                                   lists_adopted,
+                                   upstreams_listed,
+                                   fleet_sized,
+                                   peer_demand_received>;
 
 }  // namespace catkintack::gateway
--- a/include/catkintack/net/upstream_client.hpp
+++ b/include/catkintack/net/upstream_client.hpp
@@ -31,6 +31,7 @@
   delivery::shared_answer answer;  ///< Set when the result is answered; always whole.
   std::optional<routing::load_report> load;
   std::optional<base::duration> retry_after;  ///< The upstream's word on when to come back.
+  bool shed = false;                          ///< The refusal came from load.
 };
 
 /// @brief Which exchange is meant when one is cancelled.
--- a/src/catkintack/daemon/call_worker.cpp
+++ b/src/catkintack/daemon/call_worker.cpp
@@ -3,6 +3,8 @@
 #include <utility>
 #include <variant>
 
+#include "catkintack/net/headers.hpp"
+
 namespace catkintack::daemon {
 namespace {
 
@@ -16,7 +18,8 @@
               {clock, [this](const gateway::send_attempt& action) { attempt_elsewhere(action); },
                [this](const gateway::cancel_attempt& action) {
                  upstreams_.cancel({action.call, action.attempt});
-               }}),
+               },
+               [this](const gateway::publish_demand& action) { demand_hook_(action); }}),
       pool_(pool_threads) {}
 
 delivery::final_answer call_worker::run(const gateway::call_arrived& event,
@@ -39,9 +42,12 @@
 
 gateway::attempt_ended call_worker::attempt(const gateway::send_attempt& action,
                                             const net::upstream_request& request) {
-  const net::exchange_result end = upstreams_.exchange(
-      {action.call, action.attempt}, action.target.where, request, action.deadline);
-  return {action.call, action.attempt, end.result, end.answer, end.load, end.retry_after};
+  net::upstream_request sent = request;
+  sent.headers.emplace_back(net::headers::depth, std::to_string(action.depth));
+  sent.headers.emplace_back(net::headers::retries_left, std::to_string(action.retries_left));
+  const net::exchange_result end = upstreams_.exchange({action.call, action.attempt},
+                                                       action.target.where, sent, action.deadline);
+  return {action.call, action.attempt, end.result, end.answer, end.load, end.retry_after, end.shed};
 }
 
 void call_worker::attempt_elsewhere(const gateway::send_attempt& action) {
--- a/src/catkintack/daemon/control_loop.cpp
+++ b/src/catkintack/daemon/control_loop.cpp
@@ -41,6 +41,10 @@
 
 void control_loop::run() {
   base::instant next_heartbeat = clock_();
+  worker_.on_demand([this](const gateway::publish_demand& action) {
+    metrics_.add("demand_reports_sent_total");
+    broadcast(net::peer_notice_kind::demand, net::encode(action.report));
+  });
   while (!stopping_) {
     std::deque<task> due;
     {
@@ -129,6 +133,7 @@
       receive_heartbeat(notice.value().body);
       return;
     case net::peer_notice_kind::demand:
+      receive_demand(notice.value());
       return;
   }
   metrics_.add("peer_datagrams_malformed_total");
@@ -143,6 +148,17 @@
   peers_.on_heartbeat(clock_(), message.value());
 }
 
+void control_loop::receive_demand(const net::peer_notice& notice) {
+  auto report = net::decode<limits::demand_report>(notice.body);
+  if (!report) {
+    metrics_.add("peer_datagrams_malformed_total");
+    return;
+  }
+  report.value().run = notice.run;
+  metrics_.add("demand_reports_received_total");
+  worker_.submit(gateway::peer_demand_received{notice.sender, std::move(report.value())});
+}
+
 void control_loop::adopt(const config::shared_lists& lists) {
   const bool newer = !lists_ || lists->plans().version > lists_->plans().version ||
                      lists->allowances().version > lists_->allowances().version;
--- a/src/catkintack/daemon/core_runner.cpp
+++ b/src/catkintack/daemon/core_runner.cpp
@@ -6,8 +6,17 @@
 namespace catkintack::daemon {
 namespace {
 
+struct call_reader {
+  base::call_id operator()(const gateway::publish_demand&) const { return {}; }
+  template <class Action>
+  base::call_id operator()(const Action& action) const {
+    return action.call;
+  }
+};
+
+/// The call that an action belongs to; 0 for one of the whole host.
 base::call_id call_of(const gateway::gateway_action& action) {
-  return std::visit([](const auto& concrete) { return concrete.call; }, action);
+  return std::visit(call_reader(), action);
 }
 
 }  // namespace
@@ -52,6 +61,10 @@
 core_runner::delivery_list core_runner::decide(const gateway::gateway_event& event) {
   delivery_list deliveries;
   for (gateway::gateway_action& action : core_->handle(hooks_.clock(), event)) {
+    if (std::holds_alternative<gateway::publish_demand>(action)) {
+      deliveries.emplace_back(nullptr, std::move(action));
+      continue;
+    }
     const auto found = mailboxes_.find(call_of(action));
     if (found != mailboxes_.end()) {
       deliveries.emplace_back(found->second, std::move(action));
@@ -62,7 +75,9 @@
 
 void core_runner::deliver(const delivery_list& deliveries) {
   for (const auto& [mailbox, action] : deliveries) {
-    if (const auto* const cancelled = std::get_if<gateway::cancel_attempt>(&action)) {
+    if (const auto* const demand = std::get_if<gateway::publish_demand>(&action)) {
+      hooks_.publish_demand(*demand);
+    } else if (const auto* const cancelled = std::get_if<gateway::cancel_attempt>(&action)) {
       hooks_.cancel(*cancelled);
     } else if (!mailbox->post(action)) {
       hooks_.run_elsewhere(std::get<gateway::send_attempt>(action));
--- a/src/catkintack/daemon/traffic_server.cpp
+++ b/src/catkintack/daemon/traffic_server.cpp
@@ -1,6 +1,7 @@
 #include "catkintack/daemon/traffic_server.hpp"
 
 #include <httplib.h>
+#include <strings.h>
 
 #include <algorithm>
 #include <charconv>
@@ -18,6 +19,7 @@
 using delivery::outcome;
 
 constexpr int status_bad_request = 400;
+constexpr int status_unavailable = 503;
 constexpr std::size_t max_request_id_length = 128;
 constexpr std::uint64_t max_time_left_ms = 300'000;
 
@@ -47,13 +49,21 @@
   return std::find(std::begin(names), std::end(names), lower) != std::end(names);
 }
 
+/// Whether this host replaces or drops a header of the caller.
+bool is_rewritten(const std::string& name) {
+  static constexpr const char* names[] = {headers::api_key, headers::time_left, headers::depth,
+                                          headers::retries_left};
+  return std::any_of(std::begin(names), std::end(names),
+                     [&name](const char* one) { return strcasecmp(name.c_str(), one) == 0; });
+}
+
 net::upstream_request to_upstream(const httplib::Request& request, const std::string& target) {
   net::upstream_request converted;
   converted.method = request.method;
   converted.target = target;
   converted.body = request.body;
   for (const auto& [name, value] : request.headers) {
-    if (!is_hop_by_hop(name) && name != headers::api_key && name != headers::time_left) {
+    if (!is_hop_by_hop(name) && !is_rewritten(name)) {
       converted.headers.emplace_back(name, value);
     }
   }
@@ -88,6 +98,9 @@
   }
   if (end.result != outcome::answer) {
     write_error(response, end.result, id, end.message);
+    if (end.result == outcome::not_run && end.status == status_unavailable) {
+      response.set_header(headers::shed, "1");
+    }
     return;
   }
   response.set_header(headers::outcome, to_string(end.result));
@@ -118,6 +131,30 @@
   return true;
 }
 
+/// Reads a count; false when the header is malformed.
+bool read_count(const httplib::Request& request,
+                const char* name,
+                std::optional<std::uint32_t>& count) {
+  if (!request.has_header(name)) {
+    return true;
+  }
+  const std::string text = request.get_header_value(name);
+  std::uint32_t value = 0;
+  const char* const end = text.data() + text.size();
+  const auto [rest, error] = std::from_chars(text.data(), end, value);
+  count = value;
+  return error == std::errc{} && rest == end;
+}
+
+/// Reads what the level above says of the call; false when a header is malformed.
+bool read_chain(const httplib::Request& request, gateway::call_arrived& event) {
+  std::optional<std::uint32_t> depth;
+  const bool well_formed = read_count(request, headers::depth, depth) &&
+                           read_count(request, headers::retries_left, event.retries_left);
+  event.depth = depth.value_or(0);
+  return well_formed;
+}
+
 bool is_request_id(const std::string& text) {
   static constexpr const char* allowed =
       "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-";
@@ -160,10 +197,11 @@
     const route where = split_target(request.target);
     const std::string id = request.get_header_value(headers::request_id);
     gateway::call_arrived event;
-    if (!is_request_id(id) || !read_time_left(request, event)) {
+    if (!is_request_id(id) || !read_time_left(request, event) || !read_chain(request, event)) {
       response.status = status_bad_request;
-      write_error(response, outcome::not_run, "",
-                  "a Catkintack-Request-Id or Catkintack-Time-Left-Ms header is malformed");
+      write_error(
+          response, outcome::not_run, "",
+          "a Catkintack-Request-Id, -Time-Left-Ms, -Depth or -Retries-Left header is malformed");
       return;
     }
     const std::string key = request.get_header_value(headers::api_key);
--- a/src/catkintack/gateway/gateway.cpp
+++ b/src/catkintack/gateway/gateway.cpp
@@ -8,6 +8,8 @@
     : options_(std::move(options)),
       recorder_(std::move(recorder)),
       router_(options_.routing, std::move(random)),
+      limiter_(options_.limiter),
+      retry_budget_(options_.retries),
       registry_(options_.registry),
       lists_(std::make_shared<config::lists>()) {}
 
@@ -17,7 +19,18 @@
   return std::exchange(actions_, {});
 }
 
-void gateway::on(base::instant /*now*/, const tick& /*event*/) {}
+void gateway::on(base::instant now, const tick& /*event*/) {
+  if (limiter_.demand_due(now)) {
+    limits::demand_report report = limiter_.demand(now);
+    if (!report.entries.empty()) {
+      actions_.emplace_back(publish_demand{std::move(report)});
+    }
+  }
+}
+
+void gateway::on(base::instant now, const peer_demand_received& event) {
+  limiter_.on_peer_demand(now, event.host, event.report);
+}
 
 void gateway::on(base::instant /*now*/, const lists_adopted& event) {
   lists_ = event.lists;
--- a/src/catkintack/gateway/gateway_admission.cpp
+++ b/src/catkintack/gateway/gateway_admission.cpp
@@ -13,6 +13,7 @@
 constexpr int status_forbidden = 403;
 constexpr int status_not_found = 404;
 constexpr int status_too_many_requests = 429;
+constexpr int status_loop_detected = 508;
 
 std::string quoted(const std::string& text) { return "\"" + text + "\""; }
 
@@ -38,6 +39,12 @@
 }
 
 void gateway::admit(base::instant now, const call_arrived& event) {
+  if (event.depth > options_.retries.max_depth) {
+    refuse(event, not_run(status_loop_detected, "the call crossed more than " +
+                                                    std::to_string(options_.retries.max_depth) +
+                                                    " gateways"));
+    return;
+  }
   const config::customer* const customer = lists_->find_customer(event.key_hash);
   if (customer == nullptr) {
     refuse(event, not_run(status_unauthorized, "the key belongs to no customer"));
@@ -82,6 +89,8 @@
   state.service = event.service;
   state.idempotent = event.idempotent;
   state.deadline = now + event.time_left.value_or(options_.default_time_left);
+  state.depth = event.depth;
+  state.retries_left = retry_budget_.start(event.service, event.retries_left);
   call& stored = calls_.insert_or_assign(event.call, std::move(state)).first->second;
   if (!attempt(now, event.call, stored)) {
     finish(event.call, stored,
--- a/src/catkintack/gateway/gateway_attempts.cpp
+++ b/src/catkintack/gateway/gateway_attempts.cpp
@@ -16,6 +16,17 @@
 constexpr int status_bad_gateway = 502;
 constexpr int first_server_error_status = 500;
 
+limits::failure_kind failure_of(attempt_result result) {
+  switch (result) {
+    case attempt_result::not_sent:
+      return limits::failure_kind::not_sent;
+    case attempt_result::refused:
+      return limits::failure_kind::refused;
+    default:
+      return limits::failure_kind::may_have_run;
+  }
+}
+
 }  // namespace
 
 bool gateway::attempt(base::instant now, base::call_id id, call& state) {
@@ -29,13 +40,18 @@
   recorder_(
       "routing", "attempt_sent", state.request,
       {{"attempt", std::to_string(state.last_attempt.value())}, {"upstream", target->id.value()}});
-  actions_.emplace_back(send_attempt{id, state.last_attempt, *target, state.deadline});
+  actions_.emplace_back(send_attempt{id, state.last_attempt, *target, state.deadline,
+                                     state.depth + 1,
+                                     limits::retry_budget::below(state.retries_left)});
   return true;
 }
 
-bool gateway::may_retry(base::instant now, const call& state) const {
+bool gateway::may_retry(base::instant now, call& state) {
   const bool safe = state.idempotent || !state.may_have_run;
-  return safe && now < state.deadline && state.last_attempt.value() < options_.max_attempts;
+  const bool wanted = safe && !state.shed && now < state.deadline &&
+                      state.last_attempt.value() < options_.max_attempts;
+  return wanted && retry_budget_.may_retry(state.service, failure_of(state.last_result),
+                                           state.deadline - now, state.retries_left);
 }
 
 void gateway::learn(base::instant now, call& state, const attempt_ended& event) {
@@ -52,6 +68,11 @@
   observation.server_error = event.answer && event.answer->status >= first_server_error_status;
   router_.on_attempt_ended(now, ended->upstream, observation);
   state.in_flight.erase(ended);
+  state.shed = state.shed || event.shed;
+  state.last_result = event.result;
+  if (event.result == attempt_result::answered) {
+    retry_budget_.on_answer(state.service, observation.elapsed);
+  }
   state.may_have_run = state.may_have_run || !certainly_not_run(event.result);
 }
 
--- a/src/catkintack/net/upstream_client.cpp
+++ b/src/catkintack/net/upstream_client.cpp
@@ -67,6 +67,7 @@
   const bool said_not_run = response.get_header_value(headers::outcome) == "not_run";
   if (response.status == status_unavailable && said_not_run) {
     end.result = attempt_result::refused;
+    end.shed = response.get_header_value(headers::shed) == "1";
     return end;
   }
   auto answer = std::make_shared<delivery::answer>();
--- a/tests/session.cpp
+++ b/tests/session.cpp
@@ -105,6 +105,8 @@
       end(line);
     } else if (command == "tick") {
       feed(line, gateway::tick{});
+    } else if (command == "demand") {
+      peer_demand(line);
     } else {
       throw std::runtime_error("\"" + command + "\" is no session command");
     }
@@ -150,6 +152,10 @@
     event.key_hash = line.option("key");
     event.service = base::service_id(line.option("service"));
     event.idempotent = line.has("idempotent");
+    event.depth = static_cast<std::uint32_t>(line.number("depth", 0));
+    if (line.has("retries")) {
+      event.retries_left = static_cast<std::uint32_t>(line.number("retries", 0));
+    }
     if (line.has("left")) {
       event.time_left = std::chrono::milliseconds(line.number("left", 0));
     }
@@ -166,6 +172,7 @@
       event.answer = std::make_shared<const delivery::answer>(
           delivery::answer{status, {}, line.option("body")});
     }
+    event.shed = line.number("shed", 0) != 0;
     if (line.has("running")) {
       routing::load_report report;
       report.running = static_cast<std::uint32_t>(line.number("running", 0));
@@ -176,6 +183,17 @@
     feed(line, event);
   }
 
+  void peer_demand(const session_line& line) {
+    const base::customer_id customer(line.words.at(2));
+    const base::service_id service(line.words.at(3));
+    limits::demand_entry entry;
+    entry.account = limits::make_account_key(customer, service);
+    entry.peak = static_cast<std::uint16_t>(line.number("peak", 0));
+    entry.held = static_cast<std::uint8_t>(line.number("held", 1));
+    const limits::demand_report report{base::incarnation(1), line.number("sequence", 1), {entry}};
+    feed(line, gateway::peer_demand_received{base::host_id(line.words.at(1)), report});
+  }
+
   void feed(const session_line& line, const gateway::gateway_event& event) {
     for (const auto& action : core_.handle(line.time, event)) {
       std::visit([this](const auto& concrete) { show(concrete); }, action);
@@ -192,6 +210,13 @@
          << "\n";
   }
 
+  void show(const gateway::publish_demand& action) {
+    for (const limits::demand_entry& entry : action.report.entries) {
+      out_ << "  publish demand account " << entry.account << " peak " << entry.peak << " held "
+           << static_cast<int>(entry.held) << "\n";
+    }
+  }
+
   void show(const gateway::finish_call& action) {
     out_ << "  finish call " << action.call.value() << " " << to_string(action.end.result)
          << " status " << action.end.status;
