Add a virtual-time fleet to compare policies

Cause: the policy for choosing an upstream has to be measured against baselines under stale reports before it is changed. Ruled out: a model of its own for the policy, since the core is what runs.

--- /dev/null
+++ b/bench/fleet_endpoint.cpp
@@ -0,0 +1,53 @@
+#include "fleet_endpoint.hpp"
+
+#include <algorithm>
+
+namespace catkintack::bench {
+namespace {
+
+constexpr int slow_factor = 10;
+
+}  // namespace
+
+base::instant fleet_endpoint::end_of(base::instant now, base::duration work) const {
+  for (const slow_window& window : slow) {
+    if (window.end <= now) {
+      continue;
+    }
+    const base::duration before = std::max(window.begin - now, base::duration{});
+    if (work <= before) {
+      return now + work;
+    }
+    work -= before;
+    now = std::max(now, window.begin);
+    const base::duration inside = (window.end - now) / slow_factor;
+    if (work <= inside) {
+      return now + work * slow_factor;
+    }
+    work -= inside;
+    now = window.end;
+  }
+  return now + work;
+}
+
+bool fleet_endpoint::slow_at(base::instant now) const {
+  return std::any_of(slow.begin(), slow.end(), [now](const slow_window& window) {
+    return window.begin <= now && now < window.end;
+  });
+}
+
+void fleet_endpoint::remember(base::instant now) {
+  const auto queued = static_cast<std::uint32_t>(queue.size());
+  history.emplace_back(now, routing::load_report{running, queued, leaving});
+}
+
+routing::load_report fleet_endpoint::report(base::instant then) {
+  while (history.size() > 1 && history[1].first <= then) {
+    history.pop_front();
+  }
+  routing::load_report known = history.empty() ? routing::load_report{} : history.front().second;
+  known.leaving = leaving;
+  return known;
+}
+
+}  // namespace catkintack::bench
--- /dev/null
+++ b/bench/fleet_faults.cpp
@@ -0,0 +1,34 @@
+#include "fleet_faults.hpp"
+
+namespace catkintack::bench {
+namespace {
+
+constexpr base::duration slow_length = std::chrono::milliseconds(200);
+constexpr base::duration shortest_pause = std::chrono::milliseconds(500);
+constexpr base::duration longest_pause = std::chrono::seconds(1);
+
+}  // namespace
+
+double calls_per_second(const fleet_options& options) {
+  return options.load * options.endpoints * options.slots / base::to_seconds(options.mean_work);
+}
+
+base::duration run_length(const fleet_options& options) {
+  constexpr double microseconds = 1e6;
+  return base::duration(
+      static_cast<std::int64_t>(options.requests / calls_per_second(options) * microseconds));
+}
+
+void plan_slow_spans(std::vector<fleet_endpoint>& endpoints,
+                     std::mt19937_64& random,
+                     base::instant begin,
+                     base::duration length) {
+  std::uniform_int_distribution<std::int64_t> pause(shortest_pause.count(), longest_pause.count());
+  std::uniform_int_distribution<std::size_t> which(0, endpoints.size() - 1);
+  for (base::instant time = begin; time < begin + length; time += slow_length) {
+    time += base::duration(pause(random));
+    endpoints[which(random)].slow.push_back({time, time + slow_length});
+  }
+}
+
+}  // namespace catkintack::bench
