Choose by own load first, aged reports second; queue at the ceiling; hedge late

Cause: the router counted only its own attempts, and nothing bounded what one host sends to an upstream that is full or slow. Change: upstream_state holds what is known of an upstream and ages it; the score is own attempts, plus a tenth of the faded report against the service's mean, plus overdue work and faded failures, per slot and warmth. Ejection after 5 failures in a row, doubling, capped at half of a region's upstreams; other regions from a token bucket; gradual start of new and returned ones; an upstream's own word on leaving holds for 5 s. Own attempts at an upstream are bounded by its slots plus one; beyond that calls wait in a bounded queue with the deadline in view, and are refused at once with 503, not run and Retry-After when they cannot finish. One hedge per idempotent call, at twice the service's 95th percentile, from 5 % of the calls.

--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -23,7 +23,6 @@
 constexpr duration list_lag = std::chrono::seconds(1);
 constexpr int status_ok = 200;
 constexpr int status_error = 500;
-constexpr std::size_t cold_endpoints = 3;
 
 struct timed_step {
   instant time{};
@@ -60,8 +59,8 @@
 
   fleet_result run() {
     now_ = start_time;
-    list_upstreams();
     plan_faults();
+    list_upstreams();
     at(now_, [this] { arrive(); });
     at(now_, [this] { tick(); });
     while (!steps_.empty()) {
@@ -104,7 +103,6 @@
           endpoints_[index].slow.push_back({begin, begin + cold_length});
         }
         unlisted_ = cold_endpoints;
-        list_upstreams();
         at(begin, [this] { unlisted_ = 0, list_upstreams(); });
         return;
       case fault::region_cut:
--- a/bench/fleet_faults.cpp
+++ b/bench/fleet_faults.cpp
@@ -7,10 +7,22 @@
 constexpr base::duration shortest_pause = std::chrono::milliseconds(500);
 constexpr base::duration longest_pause = std::chrono::seconds(1);
 
+std::uint32_t staying_endpoints(const fleet_options& options) {
+  switch (options.what) {
+    case fault::draining:
+      return options.endpoints - options.endpoints / 3;
+    case fault::cold_start:
+      return options.endpoints - cold_endpoints;
+    default:
+      return options.endpoints;
+  }
+}
+
 }  // namespace
 
 double calls_per_second(const fleet_options& options) {
-  return options.load * options.endpoints * options.slots / base::to_seconds(options.mean_work);
+  const double slots = staying_endpoints(options) * options.slots;
+  return options.load * slots / base::to_seconds(options.mean_work);
 }
 
 base::duration run_length(const fleet_options& options) {
--- a/bench/fleet_faults.hpp
+++ b/bench/fleet_faults.hpp
@@ -11,8 +11,9 @@
 namespace catkintack::bench {
 
 inline constexpr base::instant start_time{std::chrono::seconds(1)};  ///< Begin of a run.
+inline constexpr std::uint32_t cold_endpoints = 3;                   ///< Listed late, and cold.
 
-/// @brief Rate of arrivals of a cell.
+/// @brief Rate of arrivals of a cell; the load is that of the endpoints which stay.
 /// @param options The cell.
 /// @return Calls per second over all hosts.
 double calls_per_second(const fleet_options& options);
--- a/bench/policies.cpp
+++ b/bench/policies.cpp
@@ -59,6 +59,9 @@
       before[endpoint.record.id] = endpoint;
     }
     // Positions must stay, since calls in flight hold them; new ones are appended.
+    for (known_endpoint& endpoint : endpoints_) {
+      endpoint.record.leaving = true;
+    }
     for (const auto& record : event.upstreams) {
       if (before.contains(record.id)) {
         find(record.id).record = record;
--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -55,6 +55,35 @@
   return values;
 }
 
+/// Options under trial, from --try=name:value.
+std::map<std::string, double>& tried_options() {
+  static std::map<std::string, double> values;
+  return values;
+}
+
+void set_tried_options(gateway::gateway_options& options) {
+  auto& tried = tried_options();
+  const auto set = [&tried](const char* name, const auto& setter) {
+    if (const auto found = tried.find(name); found != tried.end()) {
+      setter(found->second);
+    }
+  };
+  const auto milliseconds = [](double value) {
+    return base::duration(static_cast<std::int64_t>(value * 1e3));
+  };
+  set("fade", [&](double value) { options.routing.report_fade = milliseconds(value); });
+  set("trust", [&](double value) { options.routing.report_trust = value; });
+  set("hedge-share", [&](double value) { options.hedge.share = value; });
+  set("hedge-quantile", [&](double value) { options.routing.hedge_quantile = value; });
+  set("hedge-factor", [&](double value) { options.hedge.delay_factor = value; });
+  set("waiting", [&](double value) {
+    options.routing.waiting_per_upstream = static_cast<std::uint32_t>(value);
+  });
+  set("overdue-weight", [&](double value) { options.routing.overdue_weight = value; });
+  set("overdue-after", [&](double value) { options.routing.overdue_after = value; });
+  set("warm-up", [&](double value) { options.routing.warm_up = milliseconds(value); });
+}
+
 bench_options parse(int count, char** words) {
   bench_options options;
   const std::map<std::string, std::function<void(const std::string&)>> setters{
@@ -72,6 +101,13 @@
          options.seeds = static_cast<std::uint32_t>(std::stoul(text));
        }},
       {"--idempotent", [&](const std::string& text) { options.idempotent = std::stod(text); }},
+      {"--try",
+       [&](const std::string& text) {
+         for (const std::string& word : split(text)) {
+           const auto colon = word.find(':');
+           tried_options()[word.substr(0, colon)] = std::stod(word.substr(colon + 1));
+         }
+       }},
       {"--work-per-attempt",
        [&](const std::string& text) { options.work_per_attempt = text == "yes"; }}};
   for (int index = 1; index < count; ++index) {
@@ -99,7 +135,10 @@
   for (named_policy& policy : baseline_policies()) {
     all.push_back(std::move(policy));
   }
-  all.push_back({"ours", core_policy({})});
+  gateway::gateway_options ours;
+  ours.routing.region = base::region_id("south");
+  set_tried_options(ours);
+  all.push_back({"ours", core_policy(ours)});
   std::erase_if(all, [&options](const named_policy& policy) {
     const auto& names = options.policies;
     return !names.empty() && std::find(names.begin(), names.end(), policy.name) == names.end();
--- a/include/catkintack/gateway/gateway.hpp
+++ b/include/catkintack/gateway/gateway.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -14,6 +15,8 @@
 #include "catkintack/delivery/request_registry.hpp"
 #include "catkintack/gateway/gateway_action.hpp"
 #include "catkintack/gateway/gateway_event.hpp"
+#include "catkintack/gateway/hedge_schedule.hpp"
+#include "catkintack/gateway/queue_options.hpp"
 #include "catkintack/limits/limiter.hpp"
 #include "catkintack/routing/router.hpp"
 
@@ -31,6 +34,8 @@
   delivery::registry_options registry;
   base::duration default_time_left = std::chrono::seconds(5);  ///< For callers without deadline.
   std::uint32_t max_attempts = 3;                              ///< Per call, at least 1.
+  queue_options queue;
+  hedge_options hedge;
 };
 
 /// @brief Decides for every call of one host. Not thread-safe; each event is a short step.
@@ -78,8 +83,24 @@
 
   // Attempts, in gateway_attempts.cpp.
   bool attempt(base::instant now, base::call_id id, call& state);
+  void send(base::instant now,
+            base::call_id id,
+            call& state,
+            const routing::upstream_record& target);
+  void begin(base::instant now, base::call_id id, call& state);
+  void refuse_busy(base::call_id id, call& state, base::duration wait);
+  void hedge(base::instant now, base::call_id id);
+  void hedge_due(base::instant now);
+
+  // Waiting calls, in gateway_queue.cpp.
+  bool enqueue(base::instant now, base::call_id id, const call& state);
+  base::duration expected_wait(base::instant now, const base::service_id& service) const;
+  void drain_queue(base::instant now, const base::service_id& service);
+  void drain_queues(base::instant now);
+
   bool may_retry(base::instant now, const call& state) const;
   void learn(base::instant now, call& state, const attempt_ended& event);
+  void conclude(base::instant now, base::call_id id, call& state, const attempt_ended& event);
   void give_up(base::call_id id, call& state, const attempt_ended& event);
   void finish(base::call_id id, call& state, const delivery::final_answer& end);
 
@@ -89,6 +110,8 @@
   limits::limiter limiter_;
   delivery::request_registry registry_;
   config::shared_lists lists_;
+  std::unordered_map<base::service_id, std::deque<base::call_id>> queues_;
+  hedge_schedule hedges_;
   std::unordered_map<base::call_id, call> calls_;
   std::vector<gateway_action> actions_;
 };
--- a/include/catkintack/routing/router.hpp
+++ b/include/catkintack/routing/router.hpp
@@ -5,29 +5,22 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <unordered_map>
 #include <vector>
 
 #include "catkintack/base/hooks.hpp"
 #include "catkintack/base/ids.hpp"
-#include "catkintack/routing/attempt_result.hpp"
-#include "catkintack/routing/load_report.hpp"
+#include "catkintack/routing/attempt_observation.hpp"
+#include "catkintack/routing/latency_tracker.hpp"
+#include "catkintack/routing/router_options.hpp"
 #include "catkintack/routing/upstream_record.hpp"
+#include "catkintack/routing/upstream_state.hpp"
 
 namespace catkintack::routing {
 
-/// @brief Where the router stands.
-struct router_options {
-  base::region_id region;                  ///< Upstreams of this region come first.
-  base::failure_domain_id failure_domain;  ///< Breaks ties between equals.
-};
-
-/// @brief An attempt that has ended, as the router needs to know it.
-struct attempt_observation {
-  attempt_result result = attempt_result::answered;
-  base::duration elapsed{};         ///< From sending to the end.
-  std::optional<load_report> load;  ///< Report on the answer, if any.
-  bool server_error = false;        ///< The answer was a 5xx.
+/// @brief Which upstreams a choice may fall on.
+enum class choice_scope {
+  any_region,  ///< Other regions as the last resort.
+  own_region,  ///< Healthy upstreams of this region only.
 };
 
 /// @brief What one host knows of every upstream, and its choice among them. Not thread-safe.
@@ -49,10 +42,32 @@
   /// @param now The time.
   /// @param service The service.
   /// @param exclude Upstreams already tried by this call.
+  /// @param scope Which upstreams may be chosen.
   /// @return The upstream, or null when none may take new work.
   const upstream_record* choose(base::instant now,
                                 const base::service_id& service,
-                                const std::vector<base::upstream_id>& exclude);
+                                const std::vector<base::upstream_id>& exclude,
+                                choice_scope scope = choice_scope::any_region);
+
+  /// @brief Whether an upstream would take work, once attempts in flight have ended.
+  /// @param now The time.
+  /// @param service The service.
+  /// @param exclude Upstreams already tried by this call.
+  /// @return True when waiting can help.
+  bool busy(base::instant now,
+            const base::service_id& service,
+            const std::vector<base::upstream_id>& exclude) const;
+
+  /// @brief Latencies of a service's answers.
+  /// @param service The service.
+  /// @return What is known; nothing for an unknown service.
+  latency_tracker latencies(const base::service_id& service) const;
+
+  /// @brief Attempts that this host may have in flight at a service.
+  /// @param now The time.
+  /// @param service The service.
+  /// @return The sum over upstreams of this region that take work.
+  std::uint32_t ceiling(base::instant now, const base::service_id& service) const;
 
   /// @brief Learns from the end of an attempt that choose() started.
   /// @param now The time.
@@ -68,18 +83,33 @@
   std::uint32_t in_flight(const base::upstream_id& upstream) const;
 
  private:
-  struct upstream_state {
-    upstream_record record;
-    std::uint32_t in_flight = 0;
-    bool reported_leaving = false;
+  struct service_state {
+    std::vector<upstream_state*> upstreams;
+    latency_tracker latencies;
   };
 
-  const upstream_record* choose_among(const std::vector<upstream_state*>& candidates);
+  using candidate_list = std::vector<upstream_state*>;
+
+  void find_candidates(base::instant now,
+                       const service_state& service,
+                       const std::vector<base::upstream_id>& exclude);
+  bool may_use_ejected(base::instant now, const service_state& service) const;
+  bool full(const upstream_state& state) const;
+  bool is_local(const upstream_state& state) const;
+  bool take_remote_token();
+  upstream_state* best_of(base::instant now,
+                          const service_state& service,
+                          const candidate_list& candidates);
 
   router_options options_;
   base::random_hook random_;
   std::map<base::upstream_id, upstream_state> states_;
-  std::map<base::service_id, std::vector<upstream_state*>> by_service_;
+  std::map<base::service_id, service_state> by_service_;
+  candidate_list local_;     ///< Of the present choice.
+  candidate_list ejected_;   ///< Of the present choice, in this region.
+  candidate_list remote_;    ///< Of the present choice.
+  bool local_full_ = false;  ///< In the present choice, an upstream here is at its ceiling.
+  double remote_tokens_;
 };
 
 }  // namespace catkintack::routing
--- /dev/null
+++ b/include/catkintack/routing/upstream_state.hpp
@@ -0,0 +1,103 @@
+/// @file
+/// What one host knows of one upstream, and how old it is.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "catkintack/routing/attempt_observation.hpp"
+#include "catkintack/routing/router_options.hpp"
+#include "catkintack/routing/upstream_record.hpp"
+
+namespace catkintack::routing {
+
+/// @brief What a score needs to know of the whole service.
+struct service_view {
+  double mean_others = 0;   ///< Mean load by other hosts over the service's upstreams.
+  double mean_latency = 0;  ///< Mean seconds of an answered attempt; 0 when unknown.
+};
+
+/// @brief Knowledge of one upstream. Every figure in it ages.
+class upstream_state {
+ public:
+  /// @brief Takes up an upstream.
+  /// @param now The time.
+  /// @param record The upstream as listed.
+  /// @param cold Whether it starts gradually.
+  upstream_state(base::instant now, upstream_record record, bool cold);
+
+  /// @brief The upstream as listed.
+  /// @return The record.
+  const upstream_record& record() const { return record_; }
+  /// @brief Replaces the record.
+  /// @param record The upstream as listed now.
+  void update(upstream_record record);
+
+  /// @brief Notes an attempt of this host.
+  /// @param now When it is sent.
+  void on_sent(base::instant now);
+  /// @brief Learns from the end of an attempt.
+  /// @param now The time.
+  /// @param observation How it ended.
+  /// @param options The router's options.
+  void on_ended(base::instant now,
+                const attempt_observation& observation,
+                const router_options& options);
+  /// @brief Learns from a report that came without an attempt.
+  /// @param now The time.
+  /// @param report The report.
+  void on_report(base::instant now, const load_report& report);
+
+  /// @brief Attempts of this host in flight.
+  /// @return The count.
+  std::uint32_t in_flight() const { return static_cast<std::uint32_t>(sent_.size()); }
+  /// @brief Load by other hosts at the last report.
+  /// @return Requests; 0 without any report.
+  double others() const { return others_; }
+  /// @brief When the last report came.
+  /// @return The time; none without any report.
+  std::optional<base::instant> reported_at() const { return reported_at_; }
+  /// @brief Whether it takes no new work, by the list or by its own word.
+  /// @param now The time.
+  /// @param options The router's options.
+  /// @return True while it is leaving.
+  bool leaving(base::instant now, const router_options& options) const;
+  /// @brief Whether failures keep it out of choices.
+  /// @param now The time.
+  /// @return True while it is ejected.
+  bool ejected(base::instant now) const { return now < ejected_until_; }
+
+  /// @brief Requests that it is thought to have now.
+  /// @param now The time.
+  /// @param options The router's options.
+  /// @param service The whole service's figures.
+  /// @return The aged estimate, without failures.
+  double load(base::instant now, const router_options& options, const service_view& service) const;
+  /// @brief How bad a choice it is.
+  /// @param now The time.
+  /// @param options The router's options.
+  /// @param service The whole service's figures.
+  /// @return Estimated load per slot, failures, overdue work and warm-up taken into account.
+  double score(base::instant now, const router_options& options, const service_view& service) const;
+
+ private:
+  void on_failure(base::instant now, const router_options& options);
+  void on_success(base::instant now, const router_options& options);
+  double overdue(base::instant now, const router_options& options, double mean_latency) const;
+  double warmth(base::instant now, const router_options& options) const;
+
+  upstream_record record_;
+  std::vector<base::instant> sent_;  ///< Start of each attempt in flight.
+  double others_ = 0;
+  std::optional<base::instant> reported_at_;
+  std::optional<base::instant> said_leaving_at_;
+  std::optional<base::instant> warm_since_;  ///< Start of a gradual start.
+  double failure_load_ = 0;                  ///< As of failed_at_.
+  base::instant failed_at_{};
+  std::uint32_t failures_in_row_ = 0;
+  std::uint32_t ejections_in_row_ = 0;
+  base::instant ejected_until_ = base::instant::min();
+};
+
+}  // namespace catkintack::routing
--- a/src/catkintack/gateway/gateway.cpp
+++ b/src/catkintack/gateway/gateway.cpp
@@ -9,7 +9,8 @@
       recorder_(std::move(recorder)),
       router_(options_.routing, std::move(random)),
       registry_(options_.registry),
-      lists_(std::make_shared<config::lists>()) {}
+      lists_(std::make_shared<config::lists>()),
+      hedges_(options_.hedge) {}
 
 std::vector<gateway_action> gateway::handle(base::instant now, const gateway_event& event) {
   actions_.clear();
@@ -17,7 +18,10 @@
   return std::exchange(actions_, {});
 }
 
-void gateway::on(base::instant /*now*/, const tick& /*event*/) {}
+void gateway::on(base::instant now, const tick& /*event*/) {
+  drain_queues(now);
+  hedge_due(now);
+}
 
 void gateway::on(base::instant /*now*/, const lists_adopted& event) {
   lists_ = event.lists;
@@ -28,6 +32,7 @@
 
 void gateway::on(base::instant now, const upstreams_listed& event) {
   router_.update_upstreams(now, event.upstreams);
+  drain_queues(now);
 }
 
 void gateway::on(base::instant /*now*/, const fleet_sized& event) {
--- a/src/catkintack/gateway/gateway_admission.cpp
+++ b/src/catkintack/gateway/gateway_admission.cpp
@@ -83,11 +83,7 @@
   state.idempotent = event.idempotent;
   state.deadline = now + event.time_left.value_or(options_.default_time_left);
   call& stored = calls_.insert_or_assign(event.call, std::move(state)).first->second;
-  if (!attempt(now, event.call, stored)) {
-    finish(event.call, stored,
-           unavailable("service " + quoted(event.service.value()) +
-                       " has no upstream that takes work"));
-  }
+  begin(now, event.call, stored);
 }
 
 }  // namespace catkintack::gateway
--- a/src/catkintack/gateway/gateway_attempts.cpp
+++ b/src/catkintack/gateway/gateway_attempts.cpp
@@ -1,8 +1,7 @@
 #include "catkintack/gateway/gateway.hpp"
 
-#include <utility>
-
 #include <algorithm>
+#include <utility>
 
 #include "own_answers.hpp"
 
@@ -18,19 +17,84 @@
 
 }  // namespace
 
+void gateway::begin(base::instant now, base::call_id id, call& state) {
+  hedges_.on_call();
+  if (attempt(now, id, state)) {
+    return;
+  }
+  if (!router_.busy(now, state.service, state.tried)) {
+    finish(
+        id, state,
+        unavailable("service \"" + state.service.value() + "\" has no upstream that takes work"));
+    return;
+  }
+  if (!enqueue(now, id, state)) {
+    refuse_busy(id, state, expected_wait(now, state.service));
+  }
+}
+
+void gateway::refuse_busy(base::call_id id, call& state, base::duration wait) {
+  final_answer end = unavailable("every upstream of service \"" + state.service.value() +
+                                 "\" is busy beyond the deadline");
+  end.retry_after = std::max(wait, *end.retry_after);
+  finish(id, state, end);
+}
+
 bool gateway::attempt(base::instant now, base::call_id id, call& state) {
-  const routing::upstream_record* const target = router_.choose(now, state.service, state.tried);
+  const auto& queue = queues_[state.service];
+  const bool others_wait = !queue.empty() && queue.front() != id;
+  const routing::upstream_record* const target =
+      others_wait ? nullptr : router_.choose(now, state.service, state.tried);
   if (target == nullptr) {
     return false;
   }
+  send(now, id, state, *target);
+  const auto delay = router_.latencies(state.service).quantile();
+  if (state.idempotent && delay && options_.hedge.share > 0) {
+    const auto scaled =
+        std::chrono::duration<double, std::micro>(*delay) * options_.hedge.delay_factor;
+    hedges_.plan(now + std::chrono::duration_cast<base::duration>(scaled), id);
+  }
+  return true;
+}
+
+void gateway::send(base::instant now,
+                   base::call_id id,
+                   call& state,
+                   const routing::upstream_record& target) {
   state.last_attempt = state.last_attempt.next();
-  state.tried.push_back(target->id);
-  state.in_flight.push_back({state.last_attempt, target->id, now});
+  state.tried.push_back(target.id);
+  state.in_flight.push_back({state.last_attempt, target.id, now});
   recorder_(
       "routing", "attempt_sent", state.request,
-      {{"attempt", std::to_string(state.last_attempt.value())}, {"upstream", target->id.value()}});
-  actions_.emplace_back(send_attempt{id, state.last_attempt, *target, state.deadline});
-  return true;
+      {{"attempt", std::to_string(state.last_attempt.value())}, {"upstream", target.id.value()}});
+  actions_.emplace_back(send_attempt{id, state.last_attempt, target, state.deadline});
+}
+
+void gateway::hedge_due(base::instant now) {
+  while (const auto due = hedges_.next_due(now)) {
+    hedge(now, *due);
+  }
+}
+
+void gateway::hedge(base::instant now, base::call_id id) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end() || found->second.finished || found->second.in_flight.size() != 1) {
+    return;
+  }
+  call& state = found->second;
+  const bool in_time = now + router_.latencies(state.service).mean() < state.deadline;
+  if (!in_time || !hedges_.may_spend() || state.last_attempt.value() >= options_.max_attempts) {
+    return;
+  }
+  const routing::upstream_record* const target =
+      router_.choose(now, state.service, state.tried, routing::choice_scope::own_region);
+  if (target == nullptr) {
+    return;
+  }
+  hedges_.spend();
+  recorder_("routing", "hedged", state.request, {});
+  send(now, id, state, *target);
 }
 
 bool gateway::may_retry(base::instant now, const call& state) const {
@@ -60,26 +124,34 @@
   if (found == calls_.end()) {
     return;
   }
-  call& state = found->second;
-  learn(now, state, event);
+  const base::service_id service = found->second.service;
+  learn(now, found->second, event);
+  conclude(now, event.call, found->second, event);
+  drain_queue(now, service);
+}
+
+void gateway::conclude(base::instant now,
+                       base::call_id id,
+                       call& state,
+                       const attempt_ended& event) {
   if (state.finished) {
     if (state.in_flight.empty()) {
-      calls_.erase(found);
+      calls_.erase(id);
     }
     return;
   }
   if (event.result == attempt_result::answered) {
-    finish(event.call, state, {outcome::answer, event.answer->status, event.answer, {}, {}});
+    finish(id, state, {outcome::answer, event.answer->status, event.answer, {}, {}});
     return;
   }
   recorder_(
       "delivery", "attempt_failed", state.request,
       {{"attempt", std::to_string(event.attempt.value())}, {"result", to_string(event.result)}});
   const bool others_in_flight = !state.in_flight.empty();
-  if (others_in_flight || (may_retry(now, state) && attempt(now, event.call, state))) {
+  if (others_in_flight || (may_retry(now, state) && attempt(now, id, state))) {
     return;
   }
-  give_up(event.call, state, event);
+  give_up(id, state, event);
 }
 
 void gateway::give_up(base::call_id id, call& state, const attempt_ended& event) {
--- /dev/null
+++ b/src/catkintack/gateway/gateway_queue.cpp
@@ -0,0 +1,53 @@
+#include <algorithm>
+#include <utility>
+
+#include "catkintack/gateway/gateway.hpp"
+
+namespace catkintack::gateway {
+
+bool gateway::enqueue(base::instant now, base::call_id id, const call& state) {
+  const std::size_t waiting = queues_[state.service].size();
+  const base::duration run = router_.latencies(state.service).mean();
+  const base::instant end = now + expected_wait(now, state.service) + run;
+  if (waiting >= options_.queue.capacity || end >= state.deadline) {
+    return false;
+  }
+  recorder_("routing", "queued", state.request, {{"waiting", std::to_string(waiting)}});
+  queues_[state.service].push_back(id);
+  return true;
+}
+
+base::duration gateway::expected_wait(base::instant now, const base::service_id& service) const {
+  const auto found = queues_.find(service);
+  const std::size_t ahead = found == queues_.end() ? 0 : found->second.size();
+  const std::uint32_t ceiling = std::max(router_.ceiling(now, service), 1U);
+  return router_.latencies(service).mean() * static_cast<std::int64_t>(ahead + 1) / ceiling;
+}
+
+void gateway::drain_queue(base::instant now, const base::service_id& service) {
+  auto& queue = queues_[service];
+  while (!queue.empty()) {
+    const base::call_id id = queue.front();
+    call& state = calls_.at(id);
+    const base::duration run = router_.latencies(service).mean();
+    if (now + run >= state.deadline) {
+      queue.pop_front();
+      refuse_busy(id, state, run);
+      continue;
+    }
+    if (!attempt(now, id, state)) {
+      return;
+    }
+    queue.pop_front();
+  }
+}
+
+void gateway::drain_queues(base::instant now) {
+  for (auto& [service, queue] : queues_) {
+    if (!queue.empty()) {
+      drain_queue(now, service);
+    }
+  }
+}
+
+}  // namespace catkintack::gateway
--- /dev/null
+++ b/src/catkintack/routing/latency_tracker.cpp
@@ -0,0 +1,41 @@
+#include "catkintack/routing/latency_tracker.hpp"
+
+#include <algorithm>
+
+namespace catkintack::routing {
+namespace {
+
+constexpr double mean_weight = 0.05;
+constexpr double quantile_step = 0.5;  // In means.
+constexpr double first_quantile = 3;   // In means.
+constexpr std::uint32_t enough_answers = 20;
+
+base::duration from_seconds(double seconds) {
+  return std::chrono::duration_cast<base::duration>(std::chrono::duration<double>(seconds));
+}
+
+}  // namespace
+
+void latency_tracker::add(base::duration latency, double quantile) {
+  const double seconds = base::to_seconds(latency);
+  if (answers_ == 0) {
+    mean_ = seconds;
+    quantile_ = first_quantile * seconds;
+  }
+  answers_ = std::min(answers_ + 1, enough_answers);
+  mean_ += mean_weight * (seconds - mean_);
+  const double step = quantile_step * mean_;
+  quantile_ += seconds > quantile_ ? step * quantile : -step * (1 - quantile);
+  quantile_ = std::max(quantile_, mean_);
+}
+
+base::duration latency_tracker::mean() const { return from_seconds(mean_); }
+
+std::optional<base::duration> latency_tracker::quantile() const {
+  if (answers_ < enough_answers) {
+    return std::nullopt;
+  }
+  return from_seconds(quantile_);
+}
+
+}  // namespace catkintack::routing
