Follow reports as far as they foretell latency

Change: report_value keeps the running correlation of the reported excess at the choice with the latency that followed; random noise takes the place of reports as that correlation falls from 0.1 to 0.

--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -79,6 +79,8 @@
   set("waiting", [&](double value) {
     options.routing.waiting_per_upstream = static_cast<std::uint32_t>(value);
   });
+  set("correlation", [&](double value) { options.routing.full_correlation = value; });
+  set("correlation-weight", [&](double value) { options.routing.correlation_weight = value; });
   set("overdue-weight", [&](double value) { options.routing.overdue_weight = value; });
   set("overdue-after", [&](double value) { options.routing.overdue_after = value; });
   set("warm-up", [&](double value) { options.routing.warm_up = milliseconds(value); });
--- a/include/catkintack/routing/router.hpp
+++ b/include/catkintack/routing/router.hpp
@@ -11,6 +11,7 @@
 #include "catkintack/base/ids.hpp"
 #include "catkintack/routing/attempt_observation.hpp"
 #include "catkintack/routing/latency_tracker.hpp"
+#include "catkintack/routing/report_value.hpp"
 #include "catkintack/routing/router_options.hpp"
 #include "catkintack/routing/upstream_record.hpp"
 #include "catkintack/routing/upstream_state.hpp"
@@ -86,6 +87,7 @@
   struct service_state {
     std::vector<upstream_state*> upstreams;
     latency_tracker latencies;
+    report_value reports;
   };
 
   using candidate_list = std::vector<upstream_state*>;
@@ -100,6 +102,7 @@
   upstream_state* best_of(base::instant now,
                           const service_state& service,
                           const candidate_list& candidates);
+  double noise();
 
   router_options options_;
   base::random_hook random_;
@@ -109,6 +112,7 @@
   candidate_list ejected_;   ///< Of the present choice, in this region.
   candidate_list remote_;    ///< Of the present choice.
   bool local_full_ = false;  ///< In the present choice, an upstream here is at its ceiling.
+  double mean_others_ = 0;   ///< Of the present choice.
   double remote_tokens_;
 };
 
--- a/include/catkintack/routing/router_options.hpp
+++ b/include/catkintack/routing/router_options.hpp
@@ -15,11 +15,13 @@
   base::failure_domain_id failure_domain;  ///< Breaks ties between equals.
   /// Time in which a report loses most of its weight.
   base::duration report_fade = std::chrono::milliseconds(100);
-  double report_trust = 0.1;     ///< Weight of a new report against the fleet's mean.
-  double overdue_weight = 1.0;   ///< Load added per mean latency that an attempt is overdue.
-  double overdue_after = 3.0;    ///< Mean latencies after which an attempt is overdue.
-  double hedge_quantile = 0.95;  ///< Of a service's latency; a hedge is due after it.
-  double failure_load = 4.0;     ///< Load added per failure; it fades.
+  double report_trust = 0.1;      ///< Weight of a new report against the fleet's mean.
+  double full_correlation = 0.1;  ///< Of reports with latency, at which reports are followed fully.
+  double correlation_weight = 0.01;  ///< Of one answer in that correlation.
+  double overdue_weight = 1.0;       ///< Load added per mean latency that an attempt is overdue.
+  double overdue_after = 3.0;        ///< Mean latencies after which an attempt is overdue.
+  double hedge_quantile = 0.95;      ///< Of a service's latency; a hedge is due after it.
+  double failure_load = 4.0;         ///< Load added per failure; it fades.
   base::duration failure_fade = std::chrono::seconds(1);
   /// Attempts of this host beyond an upstream's slots that may wait there.
   std::uint32_t waiting_per_upstream = 1;
--- a/include/catkintack/routing/upstream_state.hpp
+++ b/include/catkintack/routing/upstream_state.hpp
@@ -16,6 +16,7 @@
 struct service_view {
   double mean_others = 0;   ///< Mean load by other hosts over the service's upstreams.
   double mean_latency = 0;  ///< Mean seconds of an answered attempt; 0 when unknown.
+  double report_value = 1;  ///< How far reports deserve to be followed, between 0 and 1.
 };
 
 /// @brief Knowledge of one upstream. Every figure in it ages.
@@ -36,14 +37,16 @@
 
   /// @brief Notes an attempt of this host.
   /// @param now When it is sent.
-  void on_sent(base::instant now);
+  /// @param excess Reported load above the service's mean at that time.
+  void on_sent(base::instant now, double excess);
   /// @brief Learns from the end of an attempt.
   /// @param now The time.
   /// @param observation How it ended.
   /// @param options The router's options.
-  void on_ended(base::instant now,
-                const attempt_observation& observation,
-                const router_options& options);
+  /// @return The excess that was noted when it was sent.
+  double on_ended(base::instant now,
+                  const attempt_observation& observation,
+                  const router_options& options);
   /// @brief Learns from a report that came without an attempt.
   /// @param now The time.
   /// @param report The report.
@@ -68,27 +71,36 @@
   /// @return True while it is ejected.
   bool ejected(base::instant now) const { return now < ejected_until_; }
 
-  /// @brief Requests that it is thought to have now.
+  /// @brief Reported load of other hosts above the service's mean, faded by age.
   /// @param now The time.
   /// @param options The router's options.
-  /// @param service The whole service's figures.
-  /// @return The aged estimate, without failures.
-  double load(base::instant now, const router_options& options, const service_view& service) const;
+  /// @param mean_others The service's mean.
+  /// @return Requests; 0 without any report.
+  double excess(base::instant now, const router_options& options, double mean_others) const;
   /// @brief How bad a choice it is.
   /// @param now The time.
   /// @param options The router's options.
   /// @param service The whole service's figures.
+  /// @param noise A random number between -1 and 1; it takes the place of reports without value.
   /// @return Estimated load per slot, failures, overdue work and warm-up taken into account.
-  double score(base::instant now, const router_options& options, const service_view& service) const;
+  double score(base::instant now,
+               const router_options& options,
+               const service_view& service,
+               double noise) const;
 
  private:
+  struct sent_attempt {
+    base::instant at{};
+    double excess = 0;
+  };
+
   void on_failure(base::instant now, const router_options& options);
   void on_success(base::instant now, const router_options& options);
   double overdue(base::instant now, const router_options& options, double mean_latency) const;
   double warmth(base::instant now, const router_options& options) const;
 
   upstream_record record_;
-  std::vector<base::instant> sent_;  ///< Start of each attempt in flight.
+  std::vector<sent_attempt> sent_;  ///< Those in flight.
   double others_ = 0;
   std::optional<base::instant> reported_at_;
   std::optional<base::instant> said_leaving_at_;
--- a/src/catkintack/routing/router.cpp
+++ b/src/catkintack/routing/router.cpp
@@ -62,7 +62,7 @@
   if (best == nullptr) {
     return nullptr;
   }
-  best->on_sent(now);
+  best->on_sent(now, best->excess(now, options_, mean_others_));
   return &best->record();
 }
 
@@ -168,16 +168,18 @@
     return nullptr;
   }
   service_view view;
+  view.report_value = service.reports.value(options_.full_correlation);
   view.mean_latency = service.latencies.mean_seconds();
   for (const upstream_state* const state : candidates) {
     view.mean_others += state->others() / static_cast<double>(candidates.size());
   }
+  mean_others_ = view.mean_others;
   const std::size_t start = random_() % candidates.size();
   upstream_state* best = nullptr;
   double best_score = 0;
   for (std::size_t step = 0; step < candidates.size(); ++step) {
     upstream_state* const candidate = candidates[(start + step) % candidates.size()];
-    const double score = candidate->score(now, options_, view);
+    const double score = candidate->score(now, options_, view, noise());
     if (best == nullptr || score < best_score) {
       best = candidate;
       best_score = score;
@@ -186,6 +188,11 @@
   return best;
 }
 
+double router::noise() {
+  constexpr double half = 9223372036854775808.0;  // 2^63
+  return static_cast<double>(random_()) / half - 1;
+}
+
 void router::on_attempt_ended(base::instant now,
                               const base::upstream_id& upstream,
                               const attempt_observation& observation) {
@@ -194,9 +201,12 @@
     return;
   }
   upstream_state& state = found->second;
-  state.on_ended(now, observation, options_);
+  const double excess = state.on_ended(now, observation, options_);
   if (observation.result == attempt_result::answered && !observation.server_error) {
-    by_service_[state.record().service].latencies.add(observation.elapsed, options_.hedge_quantile);
+    service_state& service = by_service_[state.record().service];
+    service.latencies.add(observation.elapsed, options_.hedge_quantile);
+    const double ratio = base::to_seconds(observation.elapsed) / service.latencies.mean_seconds();
+    service.reports.add(excess, ratio, options_.correlation_weight);
   }
 }
 
--- a/src/catkintack/routing/upstream_state.cpp
+++ b/src/catkintack/routing/upstream_state.cpp
@@ -39,16 +39,21 @@
 
 void upstream_state::update(upstream_record record) { record_ = std::move(record); }
 
-void upstream_state::on_sent(base::instant now) { sent_.push_back(now); }
-
-void upstream_state::on_ended(base::instant now,
-                              const attempt_observation& observation,
-                              const router_options& options) {
-  const auto started = std::find(sent_.begin(), sent_.end(), now - observation.elapsed);
+void upstream_state::on_sent(base::instant now, double excess) { sent_.push_back({now, excess}); }
+
+double upstream_state::on_ended(base::instant now,
+                                const attempt_observation& observation,
+                                const router_options& options) {
+  auto started = std::find_if(sent_.begin(), sent_.end(), [&](const sent_attempt& attempt) {
+    return attempt.at == now - observation.elapsed;
+  });
+  if (started == sent_.end()) {
+    started = sent_.begin();
+  }
+  double excess = 0;
   if (started != sent_.end()) {
+    excess = started->excess;
     sent_.erase(started);
-  } else if (!sent_.empty()) {
-    sent_.erase(sent_.begin());
   }
   if (observation.load) {
     on_report(now, *observation.load);
@@ -58,6 +63,7 @@
   } else if (observation.result == attempt_result::answered) {
     on_success(now, options);
   }
+  return excess;
 }
 
 void upstream_state::on_report(base::instant now, const load_report& report) {
@@ -94,13 +100,13 @@
   return record_.leaving || (said_leaving_at_ && now - *said_leaving_at_ < options.leaving_memory);
 }
 
-double upstream_state::load(base::instant now,
-                            const router_options& options,
-                            const service_view& service) const {
-  const double weight =
-      reported_at_ ? options.report_trust * fade(now - *reported_at_, options.report_fade) : 0;
-  const double others = weight * others_ + (1 - weight) * service.mean_others;
-  return others + static_cast<double>(sent_.size());
+double upstream_state::excess(base::instant now,
+                              const router_options& options,
+                              double mean_others) const {
+  if (!reported_at_) {
+    return 0;
+  }
+  return fade(now - *reported_at_, options.report_fade) * (others_ - mean_others);
 }
 
 double upstream_state::overdue(base::instant now,
@@ -110,8 +116,8 @@
     return 0;
   }
   double sum = 0;
-  for (const base::instant sent : sent_) {
-    const double age = base::to_seconds(now - sent) / mean_latency;
+  for (const sent_attempt& attempt : sent_) {
+    const double age = base::to_seconds(now - attempt.at) / mean_latency;
     sum += std::max(0.0, age - options.overdue_after);
   }
   return sum * options.overdue_weight;
@@ -127,12 +133,16 @@
 
 double upstream_state::score(base::instant now,
                              const router_options& options,
-                             const service_view& service) const {
+                             const service_view& service,
+                             double noise) const {
   const double failures =
       failure_load_ > 0 ? failure_load_ * fade(now - failed_at_, options.failure_fade) : 0;
-  const double load_now =
-      load(now, options, service) + failures + overdue(now, options, service.mean_latency);
-  return (load_now + 1) / (static_cast<double>(record_.slots) * warmth(now, options));
+  const double reports = service.report_value * excess(now, options, service.mean_others) +
+                         (1 - service.report_value) * noise;
+  const double load = static_cast<double>(sent_.size()) + service.mean_others +
+                      options.report_trust * reports + failures +
+                      overdue(now, options, service.mean_latency);
+  return (load + 1) / (static_cast<double>(record_.slots) * warmth(now, options));
 }
 
 }  // namespace catkintack::routing
