Add the probe budget of a fleet

Cause: probes have to stay within one budget for the fleet, whatever each host believes of the fleet's size. Change: probe_budget, token buckets of bytes and upstream-milliseconds. A host's share is the budget over the largest of listed, live and a floor; a host that joined spends nothing for twice the list's lag; while the list can't be read the largest fleet is assumed. A probe's whole cost is spent in advance. Ruled out: refunds of unused cost, which would move spending between windows.

--- /dev/null
+++ b/src/catkintack/routing/probe_budget_test.cpp
@@ -0,0 +1,142 @@
+#include "catkintack/routing/probe_budget.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
+#include <vector>
+
+namespace catkintack::routing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr probe_cost cost{400, 2};
+
+probe_budget_options make_options() {
+  probe_budget_options options;
+  options.list_lag = seconds(2);
+  options.largest_fleet = 12;
+  return options;
+}
+
+TEST(probe_budget, spends_nothing_until_others_count_the_host) {
+  probe_budget budget(make_options(), {});
+  EXPECT_FALSE(budget.try_spend(base::instant(milliseconds(3999)), cost));
+  budget.on_hosts(base::instant(seconds(5)), 2, 2);
+  EXPECT_TRUE(budget.try_spend(base::instant(seconds(5)), cost));
+}
+
+TEST(probe_budget, counts_all_that_is_spent) {
+  probe_budget budget(make_options(), {});
+  budget.on_hosts(base::instant(seconds(6)), 2, 2);
+  EXPECT_TRUE(budget.try_spend(base::instant(seconds(6)), cost));
+  EXPECT_TRUE(budget.try_spend(base::instant(seconds(6)), cost));
+  EXPECT_EQ(budget.spent().bytes, 800);
+  EXPECT_EQ(budget.spent().upstream_ms, 4);
+}
+
+TEST(probe_budget, an_unreadable_list_shrinks_the_share) {
+  probe_budget budget(make_options(), {});
+  budget.on_hosts(base::instant(seconds(6)), 2, 2);
+  const base::instant late(seconds(20));
+  int probes = 0;
+  while (budget.try_spend(late, cost)) {
+    ++probes;
+  }
+  EXPECT_EQ(probes, 2);  // A twelfth of 14,000 bytes and of 50 ms.
+}
+
+/// A fleet whose host list is seen by each host as it was up to list_lag ago.
+class lagging_fleet {
+ public:
+  explicit lagging_fleet(const probe_budget_options& options) : options_(options) {
+    sizes_[now_] = 0;
+  }
+
+  void pass(base::duration time) { now_ += time; }
+  void join() {
+    if (hosts_.size() < options_.largest_fleet) {
+      hosts_.emplace_back(options_, now_);
+      sizes_[now_] = hosts_.size();
+    }
+  }
+  void leave(std::size_t index) {
+    if (!hosts_.empty()) {
+      hosts_.erase(hosts_.begin() + static_cast<std::ptrdiff_t>(index % hosts_.size()));
+      sizes_[now_] = hosts_.size();
+    }
+  }
+  void read(std::size_t index, base::duration lag) {
+    if (!hosts_.empty()) {
+      const auto size = static_cast<std::uint32_t>(size_at(now_ - lag));
+      hosts_[index % hosts_.size()].on_hosts(now_, size, 1);
+    }
+  }
+  void spend(std::size_t index) {
+    if (hosts_.empty()) {
+      return;
+    }
+    while (hosts_[index % hosts_.size()].try_spend(now_, cost)) {
+      spending_.push_back(now_);
+    }
+  }
+
+  /// Checks every window that begins and ends with a probe.
+  void check() const {
+    for (std::size_t begin = 0; begin < spending_.size(); ++begin) {
+      for (std::size_t end = begin; end < spending_.size(); ++end) {
+        const double window = base::to_seconds(spending_[end] - spending_[begin] + options_.burst);
+        const auto probes = static_cast<double>(end - begin + 1);
+        RC_ASSERT(probes * cost.bytes <= options_.bytes_per_second * window + 1e-6);
+        RC_ASSERT(probes * cost.upstream_ms <= options_.upstream_ms_per_second * window + 1e-6);
+      }
+    }
+  }
+
+ private:
+  std::size_t size_at(base::instant time) const {
+    const auto after = sizes_.upper_bound(time);
+    return after == sizes_.begin() ? 0 : std::prev(after)->second;
+  }
+
+  probe_budget_options options_;
+  base::instant now_{seconds(100)};
+  std::map<base::instant, std::size_t> sizes_;
+  std::vector<probe_budget> hosts_;
+  std::vector<base::instant> spending_;
+};
+
+RC_GTEST_PROP(probe_budget, fleet_never_exceeds_its_budget_over_any_window, ()) {
+  const probe_budget_options options = make_options();
+  lagging_fleet fleet(options);
+  const auto steps = *rc::gen::inRange(0, 300);
+  for (int step = 0; step < steps; ++step) {
+    const auto index = *rc::gen::inRange<std::size_t>(0, 12);
+    switch (*rc::gen::inRange(0, 8)) {
+      case 0:
+        fleet.join();
+        break;
+      case 1:
+        if (index < 2) {
+          fleet.leave(index);
+        }
+        break;
+      case 2:
+      case 3:
+        fleet.read(index, milliseconds(*rc::gen::inRange(0, 2001)));
+        break;
+      case 4:
+      case 5:
+        fleet.pass(milliseconds(*rc::gen::inRange(0, 1500)));
+        break;
+      default:
+        fleet.spend(index);
+    }
+  }
+  fleet.check();
+}
+
+}  // namespace
+}  // namespace catkintack::routing
