--- a/include/catkintack/gateway/gateway.hpp
+++ b/include/catkintack/gateway/gateway.hpp
@@ -88,7 +88,7 @@
             call& state,
             const routing::upstream_record& target);
   void begin(base::instant now, base::call_id id, call& state);
-  void refuse_busy(base::call_id id, call& state, base::duration wait);
+  void refuse_waiting(base::instant now, base::call_id id, call& state);
   void hedge(base::instant now, base::call_id id);
   void hedge_due(base::instant now);
 
--- a/src/catkintack/gateway/gateway_attempts.cpp
+++ b/src/catkintack/gateway/gateway_attempts.cpp
@@ -19,24 +19,26 @@
 
 void gateway::begin(base::instant now, base::call_id id, call& state) {
   hedges_.on_call();
-  if (attempt(now, id, state)) {
+  if (attempt(now, id, state) || enqueue(now, id, state)) {
     return;
   }
-  if (!router_.busy(now, state.service, state.tried)) {
-    finish(
-        id, state,
-        unavailable("service \"" + state.service.value() + "\" has no upstream that takes work"));
+  refuse_waiting(now, id, state);
+}
+
+void gateway::refuse_waiting(base::instant now, base::call_id id, call& state) {
+  const std::string service = "service \"" + state.service.value() + "\"";
+  if (state.may_have_run) {
+    finish(id, state,
+           {outcome::unknown, status_bad_gateway, nullptr, service + " gave no whole answer",
+            std::nullopt});
     return;
   }
-  if (!enqueue(now, id, state)) {
-    refuse_busy(id, state, expected_wait(now, state.service));
+  if (!router_.busy(now, state.service, state.tried)) {
+    finish(id, state, unavailable(service + " has no upstream that takes work"));
+    return;
   }
-}
-
-void gateway::refuse_busy(base::call_id id, call& state, base::duration wait) {
-  final_answer end = unavailable("every upstream of service \"" + state.service.value() +
-                                 "\" is busy beyond the deadline");
-  end.retry_after = std::max(wait, *end.retry_after);
+  final_answer end = unavailable("every upstream of " + service + " is busy beyond the deadline");
+  end.retry_after = std::max(expected_wait(now, state.service), *end.retry_after);
   finish(id, state, end);
 }
 
@@ -148,7 +150,8 @@
       "delivery", "attempt_failed", state.request,
       {{"attempt", std::to_string(event.attempt.value())}, {"result", to_string(event.result)}});
   const bool others_in_flight = !state.in_flight.empty();
-  if (others_in_flight || (may_retry(now, state) && attempt(now, id, state))) {
+  if (others_in_flight ||
+      (may_retry(now, state) && (attempt(now, id, state) || enqueue(now, id, state)))) {
     return;
   }
   give_up(id, state, event);
--- a/src/catkintack/gateway/gateway_queue.cpp
+++ b/src/catkintack/gateway/gateway_queue.cpp
@@ -6,6 +6,9 @@
 namespace catkintack::gateway {
 
 bool gateway::enqueue(base::instant now, base::call_id id, const call& state) {
+  if (!router_.busy(now, state.service, state.tried)) {
+    return false;
+  }
   const std::size_t waiting = queues_[state.service].size();
   const base::duration run = router_.latencies(state.service).mean();
   const base::instant end = now + expected_wait(now, state.service) + run;
@@ -29,16 +32,16 @@
   while (!queue.empty()) {
     const base::call_id id = queue.front();
     call& state = calls_.at(id);
-    const base::duration run = router_.latencies(service).mean();
-    if (now + run >= state.deadline) {
+    const bool in_time = now + router_.latencies(service).mean() < state.deadline;
+    if (in_time && attempt(now, id, state)) {
       queue.pop_front();
-      refuse_busy(id, state, run);
       continue;
     }
-    if (!attempt(now, id, state)) {
+    if (in_time && router_.busy(now, service, state.tried)) {
       return;
     }
     queue.pop_front();
+    refuse_waiting(now, id, state);
   }
 }
 
--- a/tests/session.cpp
+++ b/tests/session.cpp
@@ -62,15 +62,7 @@
 
 class session {
  public:
-  session()
-      : core_({},
-              base::seeded_random_hook(1),
-              [this](const std::string& part,
-                     const std::string& kind,
-                     const base::request_id& request,
-                     const std::vector<base::event_field>& fields) {
-                record(part, kind, request, fields);
-              }) {}
+  session() : core_(make_core({})) {}
 
   std::string run(const std::string& script) {
     std::istringstream lines(script);
@@ -87,7 +79,9 @@
  private:
   void step(const session_line& line) {
     const std::string& command = line.words.at(0);
-    if (command == "customer") {
+    if (command == "host") {
+      set_up_host(line);
+    } else if (command == "customer") {
       const base::customer_id id(line.words.at(1));
       plans_.customers[id] = {id, base::plan_id(line.words.at(2)), line.words.at(3)};
     } else if (command == "allowance") {
@@ -110,6 +104,22 @@
     }
   }
 
+  gateway::gateway make_core(const gateway::gateway_options& options) {
+    return {options, base::seeded_random_hook(1),
+            [this](const std::string& part, const std::string& kind,
+                   const base::request_id& request, const std::vector<base::event_field>& fields) {
+              record(part, kind, request, fields);
+            }};
+  }
+
+  void set_up_host(const session_line& line) {
+    gateway::gateway_options options;
+    options.routing.region = base::region_id(line.option("region"));
+    options.queue.capacity = line.number("queue", options.queue.capacity);
+    options.hedge.burst = static_cast<double>(line.number("hedges", 5));
+    core_ = make_core(options);
+  }
+
   void add_allowance(const session_line& line) {
     config::allowance entry;
     entry.plan = base::plan_id(line.words.at(1));
