--- a/include/catkintack/gateway/gateway.hpp
+++ b/include/catkintack/gateway/gateway.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -18,6 +19,8 @@
 #include "catkintack/delivery/request_registry.hpp"
 #include "catkintack/gateway/gateway_action.hpp"
 #include "catkintack/gateway/gateway_event.hpp"
+#include "catkintack/gateway/hedge_schedule.hpp"
+#include "catkintack/gateway/queue_options.hpp"
 #include "catkintack/limits/limiter.hpp"
 #include "catkintack/limits/retry_budget.hpp"
 #include "catkintack/routing/router.hpp"
@@ -40,6 +43,8 @@
   std::size_t max_handed_over_tables = 8;  ///< The oldest go first; their ids are then unknown.
   limits::limiter_options limiter;
   limits::retry_budget_options retries;
+  queue_options queue;
+  hedge_options hedge;
 };
 
 /// @brief Decides for every call of one host. Not thread-safe; each event is a short step.
@@ -121,7 +126,23 @@
   // Attempts, in gateway_attempts.cpp.
   bool attempt(base::instant now, base::call_id id, call& state);
   bool may_retry(base::instant now, call& state);
+  void send(base::instant now,
+            base::call_id id,
+            call& state,
+            const routing::upstream_record& target);
+  void begin(base::instant now, base::call_id id, call& state);
+  void refuse_waiting(base::instant now, base::call_id id, call& state);
+  void hedge(base::instant now, base::call_id id);
+  void hedge_due(base::instant now);
+
+  // Waiting calls, in gateway_queue.cpp.
+  bool enqueue(base::instant now, base::call_id id, const call& state);
+  base::duration expected_wait(base::instant now, const base::service_id& service) const;
+  void drain_queue(base::instant now, const base::service_id& service);
+  void drain_queues(base::instant now);
+
   void learn(base::instant now, call& state, const attempt_ended& event);
+  void conclude(base::instant now, base::call_id id, call& state, const attempt_ended& event);
   void give_up(base::call_id id, call& state, const attempt_ended& event);
   void finish(base::call_id id, call& state, const delivery::final_answer& end);
 
@@ -132,6 +153,8 @@
   limits::retry_budget retry_budget_;
   delivery::request_registry registry_;
   config::shared_lists lists_;
+  std::unordered_map<base::service_id, std::deque<base::call_id>> queues_;
+  hedge_schedule hedges_;
   std::unordered_map<base::call_id, call> calls_;
   std::vector<gateway_action> actions_;
 
--- a/src/catkintack/gateway/gateway.cpp
+++ b/src/catkintack/gateway/gateway.cpp
@@ -11,7 +11,8 @@
       limiter_(options_.limiter),
       retry_budget_(options_.retries),
       registry_(options_.registry),
-      lists_(std::make_shared<config::lists>()) {}
+      lists_(std::make_shared<config::lists>()),
+      hedges_(options_.hedge) {}
 
 std::vector<gateway_action> gateway::handle(base::instant now, const gateway_event& event) {
   actions_.clear();
@@ -21,6 +22,8 @@
 
 void gateway::on(base::instant now, const tick& /*event*/) {
   expire_waiting(now);
+  drain_queues(now);
+  hedge_due(now);
   if (limiter_.demand_due(now)) {
     limits::demand_report report = limiter_.demand(now);
     if (!report.entries.empty()) {
@@ -42,6 +45,7 @@
 
 void gateway::on(base::instant now, const upstreams_listed& event) {
   router_.update_upstreams(now, event.upstreams);
+  drain_queues(now);
 }
 
 void gateway::on(base::instant /*now*/, const fleet_sized& event) {
--- a/src/catkintack/gateway/gateway_admission.cpp
+++ b/src/catkintack/gateway/gateway_admission.cpp
@@ -71,11 +71,7 @@
   state.depth = event.depth;
   state.retries_left = retry_budget_.start(event.service, event.retries_left);
   call& stored = calls_.insert_or_assign(event.call, std::move(state)).first->second;
-  if (!attempt(now, event.call, stored)) {
-    finish(event.call, stored,
-           unavailable("service " + quoted(event.service.value()) +
-                       " has no upstream that takes work"));
-  }
+  begin(now, event.call, stored);
 }
 
 }  // namespace catkintack::gateway
--- a/tests/session.cpp
+++ b/tests/session.cpp
@@ -82,9 +82,18 @@
     std::unique_ptr<gateway::gateway> core;
   };
 
-  void add_host(const std::string& name, std::uint64_t run) {
-    const delivery::home self{base::host_id(name), base::incarnation(run)};
+  /// Adds a host that decides; without a name every id belongs to it.
+  void add_host(const session_line& line) {
+    const std::string name = line.words.size() > 1 ? line.words[1] : "";
     gateway::gateway_options options;
+    options.routing.region = base::region_id(line.option("region"));
+    options.queue.capacity = line.number("queue", options.queue.capacity);
+    options.hedge.burst = static_cast<double>(line.number("hedges", 5));
+    add_host(name, line.number("run", 1), options);
+  }
+
+  void add_host(const std::string& name, std::uint64_t run, gateway::gateway_options options) {
+    const delivery::home self{base::host_id(name), base::incarnation(run)};
     if (!name.empty()) {
       options.self = self;
     }
@@ -100,7 +109,7 @@
   void step(const session_line& line) {
     const std::string& command = line.words.at(0);
     if (command == "host") {
-      add_host(line.words.at(1), line.number("run", 1));
+      add_host(line);
     } else if (command == "forward_end") {
       end_forward(line);
     } else if (command == "stop") {
@@ -242,7 +251,7 @@
   /// Feeds the host named by at=, or every host.
   void feed(const session_line& line, const gateway::gateway_event& event) {
     if (hosts_.empty()) {
-      add_host("", 0);
+      add_host("", 0, {});
     }
     for (auto& [name, fed] : hosts_) {
       if (line.has("at") && line.option("at") != name) {
