--- a/include/catkintack/base/event_log.hpp
+++ b/include/catkintack/base/event_log.hpp
@@ -4,12 +4,12 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <mutex>
 #include <string>
 #include <vector>
 
 #include "catkintack/base/event_record.hpp"
+#include "catkintack/base/event_ring.hpp"
 #include "catkintack/base/hooks.hpp"
 
 namespace catkintack::base {
@@ -18,10 +18,13 @@
 struct event_log_options {
   host_id host;
   incarnation run;
-  std::size_t capacity = 4096;  ///< Events kept; the oldest go first.
+  std::size_t capacity = 4096;  ///< Events kept of requests, and as many of all else.
 };
 
-/// @brief A ring of events stamped with a hybrid clock. Safe for use by several threads.
+/// @brief Rings of events stamped with a hybrid clock. Safe for use by several threads.
+///
+/// Events of requests have a ring of their own, so that heavy traffic does not push out the edits,
+/// changes of hosts and breaches that operators look for.
 class event_log {
  public:
   event_log(event_log_options options, wall_clock_hook wall_clock);
@@ -50,12 +53,14 @@
   std::vector<event_record> since(std::uint64_t sequence) const;
 
  private:
-  std::uint64_t advance_clock();
+  std::uint64_t wall() const;
+  std::uint64_t advance_clock(std::uint64_t wall);
 
   event_log_options options_;
   wall_clock_hook wall_clock_;
   mutable std::mutex mutex_;
-  std::deque<event_record> events_;
+  event_ring request_events_;
+  event_ring notable_events_;
   std::uint64_t last_sequence_ = 0;
   std::uint64_t last_time_ = 0;
 };
--- a/include/catkintack/cli/command.hpp
+++ b/include/catkintack/cli/command.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "catkintack/base/address.hpp"
+#include "catkintack/cli/timeline_options.hpp"
 
 namespace catkintack::cli {
 
@@ -30,6 +31,8 @@
   double rate_per_second = 0;      ///< For `allowances set`.
   unsigned burst = 0;              ///< For `allowances set`.
   unsigned max_concurrent = 0;     ///< For `allowances set`.
+  timeline_options timeline;       ///< For `timeline`.
+  bool reference = false;          ///< For `check-settings`: describe all keys.
   std::vector<std::string> words;  ///< For example {"plans", "list"}.
 };
 
--- a/include/catkintack/daemon/settings.hpp
+++ b/include/catkintack/daemon/settings.hpp
@@ -57,7 +57,7 @@
 boost::leaf::result<settings> read_settings(const std::string& path);
 
 /// @brief Describes every section and key.
-/// @return Text for operators, one key a line.
+/// @return Text for operators: each section, and below it each key with what it takes.
 std::string settings_reference();
 
 }  // namespace catkintack::daemon
--- a/src/catkintack/base/address_test.cpp
+++ b/src/catkintack/base/address_test.cpp
@@ -1,6 +1,7 @@
 #include "catkintack/base/address.hpp"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 namespace catkintack::base {
 namespace {
@@ -17,5 +18,14 @@
   }
 }
 
+TEST(address, refuses_bytes_after_a_null) {
+  EXPECT_FALSE(parse_address(std::string("127.0.0.1\0x:80", 14)));
+}
+
+RC_GTEST_PROP(address, what_is_read_is_written_the_same, (const std::string& bytes)) {
+  const auto read = parse_address(bytes);
+  RC_ASSERT(!read || parse_address(to_string(*read)) == read);
+}
+
 }  // namespace
 }  // namespace catkintack::base
--- a/src/catkintack/base/metric_registry_test.cpp
+++ b/src/catkintack/base/metric_registry_test.cpp
@@ -3,6 +3,9 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <thread>
+#include <vector>
+
 namespace catkintack::base {
 namespace {
 
@@ -21,5 +24,25 @@
   EXPECT_THAT(text, HasSubstr("catkintack_call_seconds_count 1\n"));
 }
 
+TEST(metric_registry, a_counter_counts_over_threads) {
+  metric_registry metrics;
+  constexpr int thread_count = 4;
+  constexpr int raises = 1000;
+  std::vector<std::thread> threads;
+  for (int index = 0; index < thread_count; ++index) {
+    threads.emplace_back([&metrics] {
+      for (int raise = 0; raise < raises; ++raise) {
+        metrics.counter("calls_total").add();
+        metrics.observe("call_seconds", std::chrono::milliseconds(1));
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  EXPECT_THAT(metrics.prometheus_text(), HasSubstr("catkintack_calls_total 4000\n"));
+  EXPECT_THAT(metrics.prometheus_text(), HasSubstr("catkintack_call_seconds_count 4000\n"));
+}
+
 }  // namespace
 }  // namespace catkintack::base
--- a/src/catkintack/cli/command.cpp
+++ b/src/catkintack/cli/command.cpp
@@ -123,8 +123,12 @@
 }
 
 leaf::result<exit_code> run_check_settings(const command_line& line, std::ostream& out) {
+  if (line.reference) {
+    out << daemon::settings_reference();
+    return exit_code::ok;
+  }
   if (line.words.size() != 2) {
-    return leaf::new_error(usage_error{"check-settings takes one FILE"});
+    return leaf::new_error(usage_error{"check-settings takes one FILE, or --reference"});
   }
   BOOST_LEAF_CHECK(daemon::read_settings(line.words[1]));
   out << line.words[1] << ": settings are valid\n";
@@ -169,6 +173,7 @@
   return leaf::try_handle_all(
       [&]() -> leaf::result<exit_code> { return dispatch(line, out); },
       [&](const usage_error& error) { return report(error.message, exit_code::usage); },
+      [&](const timeline_error& error) { return report(error.message, exit_code::failed); },
       [&](const daemon::settings_error& error) { return report(error.message, exit_code::usage); },
       [&](const config_error& error) { return report(error.message, code_of(error.kind)); },
       [&](const net::net_error& error) { return report(error.message, exit_code::failed); },
--- a/src/catkintack/daemon/admin_server.cpp
+++ b/src/catkintack/daemon/admin_server.cpp
@@ -14,11 +14,18 @@
 constexpr int status_unavailable = 503;
 constexpr std::uint32_t admin_connections = 8;
 
-std::uint64_t read_since(const httplib::Request& request) {
-  const std::string text = request.get_param_value("since");
-  std::uint64_t sequence = 0;
-  std::from_chars(text.data(), text.data() + text.size(), sequence);
-  return sequence;
+std::uint64_t read_number(const httplib::Request& request, const char* name) {
+  const std::string text = request.get_param_value(name);
+  std::uint64_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
+/// Sequence numbers of another incarnation say nothing about this one's events.
+std::uint64_t read_since(const httplib::Request& request, base::incarnation run) {
+  const bool same = !request.has_param("incarnation") ||
+                    base::incarnation(read_number(request, "incarnation")) == run;
+  return same ? read_number(request, "since") : 0;
 }
 
 std::string events_text(const base::event_log& events, std::uint64_t since) {
@@ -54,7 +61,8 @@
       response.set_content(shown->metrics->prometheus_text(), "text/plain");
     });
     server.Get("/events", [shown](const httplib::Request& request, httplib::Response& response) {
-      response.set_content(events_text(*shown->events, read_since(request)), "application/json");
+      const std::uint64_t since = read_since(request, shown->run);
+      response.set_content(events_text(*shown->events, since), "application/json");
     });
   });
 }
--- a/src/catkintack/daemon/daemon.cpp
+++ b/src/catkintack/daemon/daemon.cpp
@@ -3,6 +3,7 @@
 #include <thread>
 #include <utility>
 
+#include "catkintack/base/breach.hpp"
 #include "catkintack/daemon/log.hpp"
 #include "catkintack/net/http_store.hpp"
 
@@ -12,6 +13,7 @@
 namespace leaf = boost::leaf;
 
 constexpr base::duration stop_poll_interval = std::chrono::milliseconds(10);
+constexpr std::uint64_t datagram_overhead_bytes = 32 + 8 + 20;  // Digest, UDP and IP headers.
 constexpr base::duration announce_time = std::chrono::milliseconds(1500);
 constexpr base::duration hand_over_limit = std::chrono::seconds(5);  // Beyond the stop limit.
 
@@ -64,7 +66,9 @@
   control_loop_options options;
   options.host = settings_.host;
   options.run = run_;
-  options.send_datagram = [this](const base::address& to, const std::string& payload) {
+  base::metric_counter& bytes_sent = metrics_.counter("peer_bytes_sent_total");
+  options.send_datagram = [this, &bytes_sent](const base::address& to, const std::string& payload) {
+    bytes_sent.add(payload.size() + datagram_overhead_bytes);
     datagrams_->send(to, payload);
   };
   control_ =
@@ -140,6 +144,11 @@
   const base::instant limit = clock_() + settings_.stop_limit;
   finish_calls(limit);
   const std::size_t open = worker_->open_calls();
+  if (open > 0) {
+    events_.record("daemon", std::string(base::breach::calls_cut), {},
+                   {{"calls", std::to_string(open)}});
+    log(log_level::error, "daemon", "cut " + std::to_string(open) + " calls.");
+  }
   hand_over(limit + hand_over_limit);
   traffic_.reset();
   peer_server_.reset();
--- a/src/catkintack/daemon/settings.cpp
+++ b/src/catkintack/daemon/settings.cpp
@@ -91,6 +91,7 @@
   boost::leaf::result<settings> parse() {
     ini_parse_stream(&settings_parser::next_line, this, &settings_parser::on_value, this);
     require_all();
+    check_together();
     if (!faults_.empty()) {
       return boost::leaf::new_error(settings_error{faults_});
     }
@@ -205,6 +206,38 @@
     }
   }
 
+  /// Checks that span several keys; a key that is missing or malformed is reported elsewhere.
+  void check_together() {
+    check_addresses();
+    if (result_.stop_limit < result_.default_time_left) {
+      add_fault(name_ +
+                ": [calls] stop_limit must be at least [calls] default_time_left, or a planned "
+                "stop cuts calls");
+    }
+  }
+
+  void check_addresses() {
+    std::map<std::string, std::string> users;
+    for (const auto& [user, where] : addresses()) {
+      if (where.port == 0) {
+        continue;
+      }
+      const auto [first, added] = users.emplace(base::to_string(where), user);
+      if (!added) {
+        add_fault(name_ + ": " + first->second + " and " + user + " are both " +
+                  base::to_string(where) + "; each needs an address of its own");
+      }
+    }
+  }
+
+  std::vector<std::pair<std::string, base::address>> addresses() const {
+    return {{"[listen] callers", result_.callers},
+            {"[listen] peers", result_.peers},
+            {"[listen] admin", result_.admin},
+            {"[platform] store", result_.store},
+            {"[platform] host_list", result_.host_list}};
+  }
+
   void fault(const std::string& message) {
     add_fault(name_ + ":" + std::to_string(line_) + ": " + message);
   }
@@ -238,13 +271,21 @@
 
 std::string settings_reference() {
   std::string text;
+  std::string section;
   std::vector<key_rule> rules = all_rules();
   for (key_rule& rule : service_rules(std::string(service_prefix) + "NAME")) {
     rules.push_back(std::move(rule));
   }
+  settings scratch;
   for (const key_rule& rule : rules) {
-    text += "[" + rule.section + "] " + rule.key + (rule.required ? " (required)" : "") + ": " +
-            rule.meaning + "\n";
+    if (rule.section != section) {
+      section = rule.section;
+      text += "[" + section + "]\n";
+    }
+    // No key may be empty, so the reader answers with what is allowed.
+    const std::string allowed = rule.read("", scratch).value_or("any text");
+    text += "  " + rule.key + (rule.required ? " (required)" : "") + ": " + rule.meaning + "; " +
+            allowed + "\n";
   }
   return text;
 }
--- a/src/catkintack/daemon/settings_test.cpp
+++ b/src/catkintack/daemon/settings_test.cpp
@@ -1,6 +1,8 @@
 #include "catkintack/daemon/settings.hpp"
 
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 namespace catkintack::daemon {
 namespace {
@@ -60,6 +62,51 @@
             "gw.ini:24: \"nonsense\" is neither a section nor key = value");
 }
 
+std::string with(const std::string& old_text, const std::string& new_text) {
+  std::string text = valid;
+  return text.replace(text.find(old_text), old_text.size(), new_text);
+}
+
+TEST(settings, every_address_serves_one_purpose) {
+  EXPECT_EQ(faults_of(with("admin = 127.0.0.1:8003", "admin = 127.0.0.1:8001")),
+            "gw.ini: [listen] callers and [listen] admin are both 127.0.0.1:8001; each needs an "
+            "address of its own");
+  EXPECT_EQ(faults_of(with("host_list = 127.0.0.1:9002", "host_list = 127.0.0.1:9001")),
+            "gw.ini: [platform] store and [platform] host_list are both 127.0.0.1:9001; each needs "
+            "an address of its own");
+}
+
+TEST(settings, a_planned_stop_outlasts_a_call) {
+  EXPECT_EQ(faults_of(with("default_time_left = 250ms", "stop_limit = 2s")),
+            "gw.ini: [calls] stop_limit must be at least [calls] default_time_left, or a planned "
+            "stop cuts calls");
+}
+
+TEST(settings, never_shows_the_secret) {
+  EXPECT_THAT(faults_of(with("key = 0123456789abcdef", "key = short-secret")),
+              ::testing::Not(::testing::HasSubstr("short-secret")));
+}
+
+TEST(settings, reference_names_every_key_and_what_it_takes) {
+  const std::string reference = settings_reference();
+  EXPECT_THAT(reference, ::testing::HasSubstr("[listen]\n  callers (required): address for "
+                                              "callers; an IPv4 address with a port"));
+  EXPECT_THAT(reference, ::testing::HasSubstr("[service NAME]\n  idempotent: "));
+}
+
+RC_GTEST_PROP(settings, bytes_of_any_kind_give_settings_or_faults, (const std::string& bytes)) {
+  RC_ASSERT(!faults_of(bytes).empty());
+}
+
+RC_GTEST_PROP(settings,
+              a_valid_file_damaged_in_one_place_never_crashes,
+              (const std::string& bytes)) {
+  std::string text = valid;
+  const auto place = *rc::gen::inRange<std::size_t>(0, text.size());
+  const auto length = *rc::gen::inRange<std::size_t>(0, text.size() - place);
+  faults_of(text.replace(place, length, bytes));
+}
+
 TEST(settings, reports_missing_keys) {
   const std::string text = valid;
   EXPECT_EQ(faults_of(text.substr(text.find("[listen]"))),
--- a/src/catkintack/net/host_list.cpp
+++ b/src/catkintack/net/host_list.cpp
@@ -2,6 +2,7 @@
 
 #include <httplib.h>
 
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace catkintack::net {
@@ -33,6 +34,16 @@
   return state == "leaving";
 }
 
+leaf::result<std::uint32_t> read_slots(const json& entry) {
+  const json& slots = entry.at("slots");
+  constexpr std::uint64_t most = std::numeric_limits<std::uint32_t>::max();
+  const bool whole = slots.is_number_unsigned();
+  if (!whole || slots.get<std::uint64_t>() == 0 || slots.get<std::uint64_t>() > most) {
+    return malformed("host list: slots " + slots.dump() + " is no whole number of 1 or more");
+  }
+  return slots.get<std::uint32_t>();
+}
+
 leaf::result<membership::gateway_record> read_gateway(const json& entry) {
   membership::gateway_record record;
   record.host = base::host_id(entry.at("host").get<std::string>());
@@ -52,10 +63,7 @@
   BOOST_LEAF_ASSIGN(record.where, read_address(entry, "address"));
   record.region = base::region_id(entry.at("region").get<std::string>());
   record.failure_domain = base::failure_domain_id(entry.at("failure_domain").get<std::string>());
-  record.slots = entry.at("slots").get<std::uint32_t>();
-  if (record.slots == 0) {
-    return malformed("host list: upstream \"" + record.id.value() + "\" has no slots");
-  }
+  BOOST_LEAF_ASSIGN(record.slots, read_slots(entry));
   BOOST_LEAF_ASSIGN(record.leaving, read_leaving(entry));
   return record;
 }
--- /dev/null
+++ b/src/catkintack/net/host_list_test.cpp
@@ -0,0 +1,66 @@
+#include "catkintack/net/host_list.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace catkintack::net {
+namespace {
+
+namespace leaf = boost::leaf;
+
+constexpr const char* valid =
+    R"({"gateways":[{"host":"gw-1","callers":"10.1.0.1:80","peers":"10.1.0.1:81",)"
+    R"("admin":"10.1.0.1:82","region":"rosario","failure_domain":"ros-norte","state":"live"}],)"
+    R"("upstreams":[{"upstream":"m-1","service":"medidores","address":"10.1.1.1:80",)"
+    R"("region":"rosario","failure_domain":"ros-norte","slots":3,"state":"leaving"}]})";
+
+std::string fault_of(const std::string& text) {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<std::string> {
+        BOOST_LEAF_CHECK(parse_host_list(text));
+        return std::string();
+      },
+      [](const net_error& error) { return error.message; },
+      [] { return std::string("other error"); });
+}
+
+std::string with(const std::string& old_text, const std::string& new_text) {
+  std::string text = valid;
+  return text.replace(text.find(old_text), old_text.size(), new_text);
+}
+
+TEST(host_list, reads_gateways_and_upstreams) {
+  const auto list = parse_host_list(valid);
+  ASSERT_TRUE(list);
+  EXPECT_EQ(list.value().gateways.at(0).admin.port, 82);
+  EXPECT_EQ(list.value().upstreams.at(0).slots, 3U);
+  EXPECT_TRUE(list.value().upstreams.at(0).leaving);
+}
+
+TEST(host_list, names_what_is_wrong) {
+  EXPECT_EQ(fault_of(with("10.1.1.1:80", "10.1.1:80")), "host list: \"10.1.1:80\" is no address");
+  EXPECT_EQ(fault_of(with("leaving", "gone")),
+            "host list: state \"gone\" is neither live nor leaving");
+}
+
+TEST(host_list, takes_only_whole_numbers_of_slots) {
+  for (const char* slots : {"0", "-1", "1.5", "4294967296", "1e300", "\"3\"", "null"}) {
+    EXPECT_NE(fault_of(with("\"slots\":3", std::string("\"slots\":") + slots)), "") << slots;
+  }
+}
+
+RC_GTEST_PROP(host_list, bytes_of_any_kind_give_an_error, (const std::string& bytes)) {
+  RC_ASSERT(!fault_of(bytes).empty());
+}
+
+RC_GTEST_PROP(host_list,
+              a_valid_list_damaged_in_one_place_never_crashes,
+              (const std::string& bytes)) {
+  std::string text = valid;
+  const auto place = *rc::gen::inRange<std::size_t>(0, text.size());
+  const auto length = *rc::gen::inRange<std::size_t>(0, text.size() - place);
+  RC_ASSERT(fault_of(text.replace(place, length, bytes)) != "other error");
+}
+
+}  // namespace
+}  // namespace catkintack::net
--- a/src/catkintack/net/load_header_test.cpp
+++ b/src/catkintack/net/load_header_test.cpp
@@ -1,6 +1,7 @@
 #include "catkintack/net/load_header.hpp"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 namespace catkintack::net {
 namespace {
@@ -18,5 +19,17 @@
   }
 }
 
+RC_GTEST_PROP(load_header, bytes_of_any_kind_give_a_report_or_nothing, (const std::string& bytes)) {
+  const auto read = parse_load_report(bytes);
+  RC_ASSERT(!read || parse_load_report(to_text(*read)) == read);
+}
+
+RC_GTEST_PROP(load_header,
+              reads_every_report_that_it_writes,
+              (std::uint32_t running, std::uint32_t queued, bool leaving)) {
+  const routing::load_report report{running, queued, leaving};
+  RC_ASSERT(parse_load_report(to_text(report)) == report);
+}
+
 }  // namespace
 }  // namespace catkintack::net
--- a/src/programs/catkintack.cpp
+++ b/src/programs/catkintack.cpp
@@ -27,8 +27,26 @@
   double rate = 0;
   int burst = 1;
   int concurrent = 1;
+  const char* request = "";
+  const char* host = "";
+  const char* part = "";
+  const char* svg = "";
+  int breaches = 0;
+  int follow = 0;
+  int reference = 0;
 };
 
+catkintack::cli::timeline_options timeline_of(const raw_options& raw) {
+  catkintack::cli::timeline_options options;
+  options.request = raw.request;
+  options.host = raw.host;
+  options.part = raw.part;
+  options.svg_path = raw.svg;
+  options.breaches_only = raw.breaches != 0;
+  options.follow = raw.follow != 0;
+  return options;
+}
+
 int run(const raw_options& raw, command_line line) {
   const auto store = catkintack::base::parse_address(raw.store);
   const auto host_list = catkintack::base::parse_address(raw.host_list);
@@ -42,6 +60,8 @@
   line.host_list = *host_list;
   line.key = raw.key;
   line.json = raw.json != 0;
+  line.reference = raw.reference != 0;
+  line.timeline = timeline_of(raw);
   line.rate_per_second = raw.rate;
   line.burst = static_cast<unsigned>(raw.burst);
   line.max_concurrent = static_cast<unsigned>(raw.concurrent);
@@ -59,6 +79,13 @@
       {"rate", '\0', POPT_ARG_DOUBLE, &raw.rate, 0, "Requests per second", "R"},
       {"burst", '\0', POPT_ARG_INT, &raw.burst, 0, "Requests at once above the rate", "B"},
       {"concurrent", '\0', POPT_ARG_INT, &raw.concurrent, 0, "Requests in progress", "C"},
+      {"request", '\0', POPT_ARG_STRING, &raw.request, 0, "timeline: one request", "ID"},
+      {"host", '\0', POPT_ARG_STRING, &raw.host, 0, "timeline: one host", "HOST"},
+      {"part", '\0', POPT_ARG_STRING, &raw.part, 0, "timeline: one module", "PART"},
+      {"breaches", '\0', POPT_ARG_NONE, &raw.breaches, 0, "timeline: broken promises", nullptr},
+      {"follow", '\0', POPT_ARG_NONE, &raw.follow, 0, "timeline: keep going", nullptr},
+      {"svg", '\0', POPT_ARG_STRING, &raw.svg, 0, "timeline: draw into FILE", "FILE"},
+      {"reference", '\0', POPT_ARG_NONE, &raw.reference, 0, "check-settings: all keys", nullptr},
       {"json", '\0', POPT_ARG_NONE, &raw.json, 0, "Write JSON", nullptr},
       {"version", '\0', POPT_ARG_NONE, &raw.version, 0, "Show the version and exit", nullptr},
       POPT_AUTOHELP POPT_TABLEEND};
--- a/stand_ins/upstream.cpp
+++ b/stand_ins/upstream.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// Stand-in for an upstream: slots, cold start, drain, shed, lying reports, slow-down, fail fast
-/// and silence, each on command.
+/// and silence, each on command. Writes what ran to standard output when it stops.
 #include <httplib.h>
 
 #include <atomic>
@@ -61,6 +61,18 @@
     server.Delete(".*", work);
   }
 
+  /// How often each request ran, as JSON.
+  std::string runs_text() {
+    const std::lock_guard lock(mutex_);
+    nlohmann::json doubled = nlohmann::json::array();
+    for (const auto& [id, count] : runs_) {
+      if (count > 1 && !id.empty()) {
+        doubled.push_back(id);
+      }
+    }
+    return nlohmann::json{{"runs", runs_}, {"total", total_runs_}, {"doubled", doubled}}.dump();
+  }
+
   /// Refuses new work and waits for what runs.
   void finish() {
     behaviour_.drain = true;
@@ -167,18 +179,7 @@
     b.cut = number_parameter(request, "cut", b.cut ? 1 : 0) != 0;
   }
 
-  void show_runs(Response& response) {
-    const std::lock_guard lock(mutex_);
-    nlohmann::json doubled = nlohmann::json::array();
-    for (const auto& [id, count] : runs_) {
-      if (count > 1 && !id.empty()) {
-        doubled.push_back(id);
-      }
-    }
-    response.set_content(
-        nlohmann::json{{"runs", runs_}, {"total", total_runs_}, {"doubled", doubled}}.dump(),
-        "application/json");
-  }
+  void show_runs(Response& response) { response.set_content(runs_text(), "application/json"); }
 
   std::string name_;
   std::uint32_t slots_;
@@ -203,7 +204,9 @@
   }
   const auto slots = static_cast<std::uint32_t>(std::strtoul(argv[3], nullptr, 10));
   upstream served(argv[2], slots);
-  return catkintack::stand_ins::serve(
+  const int code = catkintack::stand_ins::serve(
       where, [&served](httplib::Server& server) { served.add_routes(server); },
       [&served] { served.finish(); });
+  std::cout << served.runs_text() << std::endl;
+  return code;
 }
