End a connection whose request may not have been read to its end

Cause: the HTTP library reads no body for GET, HEAD and OPTIONS, takes a malformed Content-Length for none, and keeps a connection open after 400 and 413. What was left unread was served as the connection's next request, so that a caller, or another one behind the same balancer, could take the answer to hidden bytes for its own. Ruled out: closing from a handler by a Connection header, which the library writes but does not act on; a failing content provider after the whole body is the one way that it offers. Change: http_listener refuses bodies on methods without one and lengths that can be read in two ways, and closes after 400, 413, 414, 417 and 431. It writes the whole answer before. Also: the property tests no longer evaluate an empty optional (RC_ASSERT does not short-circuit ||).

--- a/include/catkintack/cli/timeline.hpp
+++ b/include/catkintack/cli/timeline.hpp
@@ -10,6 +10,7 @@
 
 #include "catkintack/base/address.hpp"
 #include "catkintack/base/event_record.hpp"
+#include "catkintack/cli/command.hpp"
 #include "catkintack/cli/timeline_options.hpp"
 #include "catkintack/membership/gateway_record.hpp"
 
@@ -58,4 +59,10 @@
                                          const timeline_hooks& hooks,
                                          std::ostream& out);
 
+/// @brief Runs `catkintack timeline` against the hosts of a host list.
+/// @param line The command line.
+/// @param out Takes the events, one a line.
+/// @return The exit code, or an error of the layers below.
+boost::leaf::result<exit_code> run_timeline(const command_line& line, std::ostream& out);
+
 }  // namespace catkintack::cli
--- a/src/catkintack/base/address_test.cpp
+++ b/src/catkintack/base/address_test.cpp
@@ -24,7 +24,9 @@
 
 RC_GTEST_PROP(address, what_is_read_is_written_the_same, (const std::string& bytes)) {
   const auto read = parse_address(bytes);
-  RC_ASSERT(!read || parse_address(to_string(*read)) == read);
+  if (read) {
+    RC_ASSERT(parse_address(to_string(*read)) == read);
+  }
 }
 
 }  // namespace
--- a/src/catkintack/cli/timeline.cpp
+++ b/src/catkintack/cli/timeline.cpp
@@ -164,4 +164,11 @@
   return {};
 }
 
+leaf::result<exit_code> run_timeline(const command_line& line, std::ostream& out) {
+  timeline_options options = line.timeline;
+  options.json = line.json;
+  BOOST_LEAF_CHECK(write_timeline(options, http_timeline_hooks(line.host_list), out));
+  return exit_code::ok;
+}
+
 }  // namespace catkintack::cli
--- a/src/catkintack/daemon/http_listener.cpp
+++ b/src/catkintack/daemon/http_listener.cpp
@@ -3,8 +3,12 @@
 #include <httplib.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <string>
 #include <utility>
 
+#include "catkintack/net/headers.hpp"
+
 namespace catkintack::daemon {
 namespace {
 
@@ -12,6 +16,71 @@
 constexpr std::size_t requests_per_connection = 1'000'000'000;
 constexpr time_t read_limit_seconds = 10;
 
+constexpr int status_bad_request = 400;
+
+/// Whether a request has a body that the library does not read for its method.
+bool has_unread_body(const httplib::Request& request) {
+  static constexpr const char* methods[] = {"GET", "HEAD", "OPTIONS", "TRACE", "CONNECT"};
+  const bool unread =
+      std::find(std::begin(methods), std::end(methods), request.method) != std::end(methods);
+  const std::string length = request.get_header_value("Content-Length");
+  const bool empty = length.empty() || length == "0";
+  return unread && (!empty || request.has_header("Transfer-Encoding"));
+}
+
+/// Whether a request's length can be read in two ways.
+bool has_doubtful_length(const httplib::Request& request) {
+  const std::size_t lengths = request.get_header_value_count("Content-Length");
+  const std::string length = request.get_header_value("Content-Length");
+  const bool number = length.find_first_not_of("0123456789") == std::string::npos;
+  return !number || lengths > 1 || (lengths > 0 && request.has_header("Transfer-Encoding"));
+}
+
+httplib::Server::HandlerResponse check_length(const httplib::Request& request,
+                                              httplib::Response& response) {
+  const bool unread = has_unread_body(request);
+  if (!unread && !has_doubtful_length(request)) {
+    return httplib::Server::HandlerResponse::Unhandled;
+  }
+  const std::string message =
+      unread ? "a " + request.method + " request takes no body" : "the body's length is doubtful";
+  response.status = status_bad_request;
+  response.set_header(net::headers::outcome, "not_run");
+  response.set_content(R"({"error":")" + message + R"(","outcome":"not_run"})" + "\n",
+                       "application/json");
+  return httplib::Server::HandlerResponse::Handled;
+}
+
+/// Whether the request may not have been read to its end.
+bool is_request_left_over(const httplib::Response& response) {
+  static constexpr int statuses[] = {400, 413, 414, 417, 431};
+  return std::find(std::begin(statuses), std::end(statuses), response.status) != std::end(statuses);
+}
+
+/// Answers in full, and then ends the connection.
+///
+/// What is left of a request would be taken for the connection's next one, whose answer the
+/// caller, or another behind the same balancer, would take for its own. The library ends a
+/// connection only when a content provider fails.
+void close_after(httplib::Response& response) {
+  const std::string type = response.get_header_value("Content-Type");
+  response.headers.erase("Content-Type");
+  response.headers.erase("Keep-Alive");
+  response.headers.erase("Connection");
+  response.set_header("Connection", "close");
+  const std::string body = response.body.empty() ? "\n" : response.body;
+  if (response.body.empty()) {
+    response.headers.erase("Content-Length");
+    response.set_header("Content-Length", std::to_string(body.size()));
+  }
+  response.body.clear();
+  response.set_content_provider(body.size(), type.empty() ? "text/plain" : type,
+                                [body](std::size_t, std::size_t, httplib::DataSink& sink) {
+                                  sink.write(body.data(), body.size());
+                                  return false;
+                                });
+}
+
 }  // namespace
 
 boost::leaf::result<std::unique_ptr<http_listener>> http_listener::open(
@@ -32,6 +101,12 @@
   server->set_payload_max_length(options.max_body_bytes);
   const std::size_t threads = options.max_connections;
   server->new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
+  server->set_pre_routing_handler(check_length);
+  server->set_post_routing_handler([](const httplib::Request&, httplib::Response& response) {
+    if (is_request_left_over(response)) {
+      close_after(response);
+    }
+  });
   add_routes(*server);
   if (!server->bind_to_port(options.where.ip, options.where.port)) {
     return boost::leaf::new_error(
--- a/src/catkintack/net/load_header_test.cpp
+++ b/src/catkintack/net/load_header_test.cpp
@@ -21,7 +21,9 @@
 
 RC_GTEST_PROP(load_header, bytes_of_any_kind_give_a_report_or_nothing, (const std::string& bytes)) {
   const auto read = parse_load_report(bytes);
-  RC_ASSERT(!read || parse_load_report(to_text(*read)) == read);
+  if (read) {
+    RC_ASSERT(parse_load_report(to_text(*read)) == read);
+  }
 }
 
 RC_GTEST_PROP(load_header,
