Hold chunked request bodies to the limit by asking for a length

Cause: the library holds only bodies with a Content-Length to the set limit; a chunked body of 33 bytes passed a limit of 32, and any size would. Ruled out: counting in a content reader, which every handler would have to take up; chunked requests that are small, since their size is not known before they are read.

--- a/src/catkintack/daemon/http_listener.cpp
+++ b/src/catkintack/daemon/http_listener.cpp
@@ -17,6 +17,7 @@
 constexpr time_t read_limit_seconds = 10;
 
 constexpr int status_bad_request = 400;
+constexpr int status_length_required = 411;
 
 /// Whether a request has a body that the library does not read for its method.
 bool has_unread_body(const httplib::Request& request) {
@@ -28,32 +29,39 @@
   return unread && (!empty || request.has_header("Transfer-Encoding"));
 }
 
-/// Whether a request's length can be read in two ways.
+/// Whether a request's Content-Length can be read in two ways.
 bool has_doubtful_length(const httplib::Request& request) {
-  const std::size_t lengths = request.get_header_value_count("Content-Length");
   const std::string length = request.get_header_value("Content-Length");
   const bool number = length.find_first_not_of("0123456789") == std::string::npos;
-  return !number || lengths > 1 || (lengths > 0 && request.has_header("Transfer-Encoding"));
+  return !number || request.get_header_value_count("Content-Length") > 1;
 }
 
+void refuse(httplib::Response& response, int status, const std::string& message) {
+  response.status = status;
+  response.set_header(net::headers::outcome, "not_run");
+  response.set_content(R"({"error":")" + message + R"(","outcome":"not_run"})" + "\n",
+                       "application/json");
+}
+
+/// Refuses bodies whose length the library would not read, or not hold to the limit.
 httplib::Server::HandlerResponse check_length(const httplib::Request& request,
                                               httplib::Response& response) {
-  const bool unread = has_unread_body(request);
-  if (!unread && !has_doubtful_length(request)) {
+  if (has_unread_body(request)) {
+    refuse(response, status_bad_request, "a " + request.method + " request takes no body");
+  } else if (has_doubtful_length(request)) {
+    refuse(response, status_bad_request, "the Content-Length is doubtful");
+  } else if (request.has_header("Transfer-Encoding")) {
+    // The library holds chunked bodies to no limit.
+    refuse(response, status_length_required, "a body needs a Content-Length");
+  } else {
     return httplib::Server::HandlerResponse::Unhandled;
   }
-  const std::string message =
-      unread ? "a " + request.method + " request takes no body" : "the body's length is doubtful";
-  response.status = status_bad_request;
-  response.set_header(net::headers::outcome, "not_run");
-  response.set_content(R"({"error":")" + message + R"(","outcome":"not_run"})" + "\n",
-                       "application/json");
   return httplib::Server::HandlerResponse::Handled;
 }
 
 /// Whether the request may not have been read to its end.
 bool is_request_left_over(const httplib::Response& response) {
-  static constexpr int statuses[] = {400, 413, 414, 417, 431};
+  static constexpr int statuses[] = {400, 411, 413, 414, 417, 431};
   return std::find(std::begin(statuses), std::end(statuses), response.status) != std::end(statuses);
 }
 
--- a/src/catkintack/daemon/http_listener_test.cpp
+++ b/src/catkintack/daemon/http_listener_test.cpp
@@ -95,7 +95,10 @@
   EXPECT_EQ(served_, 0);
 }
 
-INSTANTIATE_TEST_SUITE_P(requests, left_over, ::testing::ValuesIn(left_over_requests));
+INSTANTIATE_TEST_SUITE_P(requests,
+                         left_over,
+                         ::testing::ValuesIn(left_over_requests),
+                         [](const auto& tested) { return "case_" + std::to_string(tested.index); });
 
 TEST_F(http_listener_test, says_in_full_why_it_refuses_a_body) {
   const raw_connection connection(options_.where);
@@ -110,6 +113,18 @@
   EXPECT_EQ(served_, 0);
 }
 
+TEST_F(http_listener_test, serves_no_body_over_the_limit) {
+  const std::string body(options_.max_body_bytes + 1, 'x');
+  const raw_connection sized(options_.where);
+  sized.write("POST /a HTTP/1.1\r\nContent-Length: 33\r\n\r\n" + body);
+  EXPECT_EQ(sized.read_to_end().rfind("HTTP/1.1 413", 0), 0U);
+  const raw_connection chunked(options_.where);
+  chunked.write("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n21\r\n" + body +
+                "\r\n0\r\n\r\n");
+  EXPECT_EQ(chunked.read_to_end().rfind("HTTP/1.1 411", 0), 0U);
+  EXPECT_EQ(served_, 0);
+}
+
 TEST_F(http_listener_test, keeps_a_connection_for_the_next_request) {
   const raw_connection connection(options_.where);
   connection.write("GET /a HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
--- a/tools/added_latency.cpp
+++ b/tools/added_latency.cpp
@@ -50,6 +50,7 @@
 struct phase_result {
   std::vector<std::int64_t> latencies_us;
   std::uint64_t failures = 0;
+  std::string first_failure;  // What the first failed request got.
   std::int64_t p50_us = 0;
   std::int64_t p99_us = 0;
 };
@@ -98,7 +99,12 @@
     request.set_header("Work-Us", "0");
     request.set_header("Number", number);
     const auto answer = client_.send(request);
-    return answer && answer->status == status_ok;
+    const bool full = answer && answer->status == status_ok;
+    if (!full && result_.first_failure.empty()) {
+      result_.first_failure = answer ? std::to_string(answer->status) + " " + answer->body
+                                     : httplib::to_string(answer.error());
+    }
+    return full;
   }
 
   const bench_options& options_;
@@ -123,6 +129,9 @@
     threads[index].join();
     const phase_result& part = senders[index]->result();
     total.failures += part.failures;
+    if (total.first_failure.empty()) {
+      total.first_failure = part.first_failure;
+    }
     total.latencies_us.insert(total.latencies_us.end(), part.latencies_us.begin(),
                               part.latencies_us.end());
   }
@@ -150,6 +159,11 @@
     const phase_result after = run_phase(options, through);
     direct_failures += before.failures;
     gateway_failures += after.failures;
+    for (const std::string& failure : {before.first_failure, after.first_failure}) {
+      if (!failure.empty()) {
+        std::cerr << "first failure: " << failure << "\n";
+      }
+    }
     direct_p50.push_back(before.p50_us);
     direct_p99.push_back(before.p99_us);
     added_p50.push_back(after.p50_us - before.p50_us);
