--- a/src/catkintack/base/metric_registry_test.cpp
+++ b/src/catkintack/base/metric_registry_test.cpp
@@ -29,6 +29,7 @@
   constexpr int thread_count = 4;
   constexpr int raises = 1000;
   std::vector<std::thread> threads;
+  threads.reserve(thread_count);
   for (int index = 0; index < thread_count; ++index) {
     threads.emplace_back([&metrics] {
       for (int raise = 0; raise < raises; ++raise) {
