Steady announced demand, report twice a second, and share short services fairly

A customer at one host waited 7 s for its share. And a customer with most requests in progress could fill a short service.

Change: a demand within a factor of 1.25 of the one announced counts as the same; reports every 500 ms within 6,144 bytes/s. fair_share refuses a customer at its equal part of the requests in progress, with 503 and not_run, while half of the recent answers met a queue or a refusal.

--- a/include/catkintack/limits/fleet_shares.hpp
+++ b/include/catkintack/limits/fleet_shares.hpp
@@ -16,12 +16,12 @@
 /// @brief How demand is exchanged.
 struct share_options {
   base::incarnation run;
-  base::duration report_interval = std::chrono::seconds(1);
+  base::duration report_interval = std::chrono::milliseconds(500);
   std::uint32_t window_reports = 3;  ///< Reports of which at least one must reach each peer.
   std::uint32_t notice_reports = 2;  ///< Further reports before a host exceeds the even share.
   double floor = 0.1;                ///< Part of an allowance that is always split evenly.
   double pressing_part = 0.8;        ///< Part of the even share from which demand is announced.
-  std::uint32_t bytes_per_second = 4096;  ///< Sent by this host to all peers together.
+  std::uint32_t bytes_per_second = 6144;  ///< Sent by this host to all peers together.
   std::uint32_t report_overhead = 128;    ///< Bytes of a report without entries, as sent.
 };
 
@@ -85,6 +85,7 @@
 
     std::uint16_t lowest() const;
     std::uint16_t highest() const;
+    std::uint16_t steadied(std::uint16_t measured) const;
   };
 
   struct peer_demand {
--- a/include/catkintack/limits/limiter.hpp
+++ b/include/catkintack/limits/limiter.hpp
@@ -10,19 +10,29 @@
 #include "catkintack/base/units.hpp"
 #include "catkintack/config/allowance.hpp"
 #include "catkintack/limits/demand_report.hpp"
+#include "catkintack/limits/fair_share.hpp"
 #include "catkintack/limits/fleet_shares.hpp"
 
 namespace catkintack::limits {
 
+/// @brief What keeps a request from running.
+enum class refusal {
+  none,        ///< Nothing; it is admitted.
+  allowance,   ///< The customer has used its allowance.
+  fair_share,  ///< The service is short and the customer has its share.
+};
+
 /// @brief The limiter's word on a request.
 struct admission {
   bool admitted = false;
   base::duration retry_after{};  ///< When a refused caller may come back.
+  refusal reason = refusal::none;
 };
 
 /// @brief How long unused accounts are kept, and how demand is exchanged.
 struct limiter_options {
   share_options shares;
+  fair_share_options fairness;
   base::duration idle_limit = std::chrono::seconds(120);  ///< Above burst / rate of any plan.
 };
 
@@ -49,6 +59,13 @@
   /// @param service The service.
   void release(const base::customer_id& customer, const base::service_id& service);
 
+  /// @brief Learns from an attempt's end whether a service is short of capacity.
+  /// @param service The service.
+  /// @param was_short Whether the attempt met a queue or was refused.
+  void on_load(const base::service_id& service, bool was_short) {
+    fairness_.on_load(service, was_short);
+  }
+
   /// @brief Whether peers are to be told of this host's demand.
   /// @param now The time.
   /// @return True once an interval after the demand before.
@@ -98,6 +115,7 @@
 
   limiter_options options_;
   fleet_shares shares_;
+  fair_share fairness_;
   base::instant measured_at_{};
   std::map<account_name, account> accounts_;
 };
--- a/src/catkintack/gateway/gateway_admission.cpp
+++ b/src/catkintack/gateway/gateway_admission.cpp
@@ -13,6 +13,7 @@
 constexpr int status_forbidden = 403;
 constexpr int status_not_found = 404;
 constexpr int status_too_many_requests = 429;
+constexpr int status_unavailable = 503;
 constexpr int status_loop_detected = 508;
 
 std::string quoted(const std::string& text) { return "\"" + text + "\""; }
@@ -45,6 +46,13 @@
   const limits::admission word = limiter_.admit(now, customer->id, *allowance);
   if (!word.admitted) {
     const std::string name = quoted(customer->id.value());
+    if (word.reason == limits::refusal::fair_share) {
+      refuse(event, not_run(status_unavailable,
+                            "service " + service + " is short and customer " + name +
+                                " has its share of it",
+                            word.retry_after));
+      return;
+    }
     refuse(event, not_run(status_too_many_requests,
                           "customer " + name + " has used its allowance for " + service,
                           word.retry_after));
--- a/src/catkintack/limits/fleet_shares.cpp
+++ b/src/catkintack/limits/fleet_shares.cpp
@@ -11,6 +11,8 @@
 constexpr double demand_unit = 0.001;
 constexpr double max_demand = std::numeric_limits<std::uint16_t>::max();
 constexpr std::uint8_t max_held = std::numeric_limits<std::uint8_t>::max();
+/// A demand within this factor of the one announced before counts as the same.
+constexpr double steady_factor = 1.25;
 constexpr std::uint32_t entry_bytes = 7;
 
 std::uint16_t to_units(double amount) {
@@ -27,6 +29,12 @@
   return recent.empty() ? std::uint16_t{0} : *std::max_element(recent.begin(), recent.end());
 }
 
+std::uint16_t fleet_shares::own_demand::steadied(std::uint16_t measured) const {
+  const double before = recent.empty() ? 0 : recent.back();
+  const bool steady = measured <= before * steady_factor && measured >= before / steady_factor;
+  return steady && !recent.empty() ? recent.back() : measured;
+}
+
 fleet_shares::fleet_shares(share_options options) : options_(options) {}
 
 void fleet_shares::set_live_hosts(std::uint32_t live_hosts) {
@@ -70,7 +78,8 @@
   std::vector<demand_entry> entries;
   for (auto& [account, demand] : own_) {
     const auto found = current.find(account);
-    demand.recent.push_back(found == current.end() ? std::uint16_t{0} : found->second);
+    const std::uint16_t measured_units = found == current.end() ? std::uint16_t{0} : found->second;
+    demand.recent.push_back(demand.steadied(measured_units));
     if (demand.recent.size() > options_.window_reports + 1) {
       demand.recent.pop_front();
     }
--- a/src/catkintack/limits/limiter.cpp
+++ b/src/catkintack/limits/limiter.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr base::duration concurrency_retry_after = std::chrono::seconds(1);
+constexpr base::duration shortage_retry_after = std::chrono::seconds(1);
 constexpr base::duration longest_retry_after = std::chrono::seconds(60);
 /// Weight of the newest interval in the smoothed demand.
 constexpr double newest_weight = 0.5;
@@ -22,7 +23,8 @@
 
 }  // namespace
 
-limiter::limiter(limiter_options options) : options_(options), shares_(options.shares) {}
+limiter::limiter(limiter_options options)
+    : options_(options), shares_(options.shares), fairness_(options.fairness) {}
 
 void limiter::set_live_hosts(std::uint32_t live_hosts) { shares_.set_live_hosts(live_hosts); }
 
@@ -59,22 +61,27 @@
   const double concurrent = std::max(1.0, std::floor(allowance.max_concurrent * share));
   entry.most_wanted = std::max(entry.most_wanted, entry.running) + 1;
   if (entry.running >= concurrent) {
-    return {false, concurrency_retry_after};
+    return {false, concurrency_retry_after, refusal::allowance};
   }
   entry.most_wanted -= 1;
   if (entry.tokens < 1) {
-    return {false, time_to_next_token(entry.tokens, rate)};
+    return {false, time_to_next_token(entry.tokens, rate), refusal::allowance};
   }
+  if (!fairness_.may_start(now, allowance.service, customer)) {
+    return {false, shortage_retry_after, refusal::fair_share};
+  }
+  fairness_.started(allowance.service, customer);
   entry.tokens -= 1;
   ++entry.running;
   entry.most_wanted = std::max(entry.most_wanted, entry.running);
-  return {true, {}};
+  return {true, {}, refusal::none};
 }
 
 void limiter::release(const base::customer_id& customer, const base::service_id& service) {
   const auto found = accounts_.find({customer, service});
   if (found != accounts_.end() && found->second.running > 0) {
     --found->second.running;
+    fairness_.ended(service, customer);
   }
 }
 
@@ -93,6 +100,7 @@
   std::erase_if(accounts_, [&](const auto& kept) {
     return kept.second.running == 0 && now - kept.second.used_at > options_.idle_limit;
   });
+  fairness_.forget_idle(now);
   const double seconds = base::to_seconds(now - measured_at_);
   measured_at_ = now;
   std::vector<measured_demand> measured;
