--- a/src/catkintack/daemon/traffic_server.cpp
+++ b/src/catkintack/daemon/traffic_server.cpp
@@ -239,6 +239,9 @@
     }
     const final_answer end = worker_.run(event, to_upstream(request, where.target));
     metrics_.add(std::string("calls_total{outcome=\"") + to_string(end.result) + "\"}");
+    if (end.result == outcome::not_run) {
+      metrics_.add("calls_refused_total{status=\"" + std::to_string(end.status) + "\"}");
+    }
     write_answer(response, end, id);
   };
   server.Get(".*", serve);
