--- a/src/catkintack/limits/fleet_shares_test.cpp
+++ b/src/catkintack/limits/fleet_shares_test.cpp
@@ -48,6 +48,10 @@
     }
   }
 
+  void count(std::size_t host, std::size_t believed) {
+    hosts_[host]->set_live_hosts(static_cast<std::uint32_t>(believed));
+  }
+
   void set_demand(std::size_t host, double amount) { demand_[host] = amount; }
 
   /// All hosts publish; delivered(from, to) says whether a report arrives, at once or late.
@@ -196,7 +200,7 @@
   constexpr std::size_t fewest = 2;
   constexpr std::size_t most = 8;
   fleet hosts(4);
-  std::deque<int> joined(share_options().window_reports + 1, 0);
+  std::deque<std::uint32_t> joined(share_options().window_reports + 1, 0);
   for (int round = 0; round < 40; ++round) {
     const int step = *rc::gen::inRange(0, 4);
     if (step == 0 && hosts.size() < most) {
@@ -205,13 +209,17 @@
     } else if (step == 1 && hosts.size() > fewest) {
       hosts.lose_last();
     }
-    const auto believed = *rc::gen::inRange<std::size_t>(fewest, hosts.size() + 1);
-    hosts.count_all(believed);
+    std::size_t fewest_believed = hosts.size();
+    for (std::size_t host = 0; host < hosts.size(); ++host) {
+      const auto believed = *rc::gen::inRange<std::size_t>(fewest, hosts.size() + 1);
+      hosts.count(host, believed);
+      fewest_believed = std::min(fewest_believed, believed);
+    }
     hosts.set_demand(*rc::gen::inRange<std::size_t>(0, hosts.size()),
                      *rc::gen::inRange(0, 30) / 10.0);
     hosts.exchange([](std::size_t, std::size_t) { return *rc::gen::inRange(0, 4); });
     const double bound = fleet_shares::overshoot_bound(
-        static_cast<std::uint32_t>(hosts.size()), static_cast<std::uint32_t>(believed), 1,
+        static_cast<std::uint32_t>(hosts.size()), static_cast<std::uint32_t>(fewest_believed), 1,
         std::accumulate(joined.begin(), joined.end(), 0U));
     RC_ASSERT(hosts.sum() <= bound + 1e-9);
     joined.pop_front();
