Own client connection to upstreams: whole answers only, one deadline for the exchange

Cause, found by a test that cuts an answer at every byte: the library's client took a chunked body cut within a chunk's end (bytes 54 and 61 of the tested answer) for a whole one; it dropped bytes that followed an answer, so that a connection with unasked bytes was used again; its limits hold for each read, so that a dripping upstream could outlast any deadline.

Ruled out: checking around the library's client; the cut chunk and the dropped bytes leave no trace in what it returns. A connection for each exchange would hide the second fault at the price of a connect for each call.

Change: net/http_connection reads answers itself: exactly one framing header, size limit, deadline by the clock before each wait, bytes left over close the connection. A broken or late exchange retires every older connection to that endpoint.

--- a/include/catkintack/net/upstream_client.hpp
+++ b/include/catkintack/net/upstream_client.hpp
@@ -44,7 +44,8 @@
 /// @brief Bounds of the connections.
 struct upstream_client_options {
   base::duration connect_timeout = std::chrono::milliseconds(250);
-  std::size_t max_idle_connections = 64;  ///< Per upstream.
+  std::size_t max_idle_connections = 64;        ///< Per upstream.
+  std::uint64_t max_answer_bytes = 64U << 20U;  ///< Of a body; a larger answer counts as broken.
 };
 
 /// @brief Sends requests to upstreams. Safe for use by several threads.
--- a/src/catkintack/daemon/traffic_server.cpp
+++ b/src/catkintack/daemon/traffic_server.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
+#include <string_view>
 #include <utility>
 
 #include "catkintack/config/key_hash.hpp"
@@ -100,6 +101,17 @@
   response.set_content(body.dump() + "\n", "application/json");
 }
 
+bool is_content_type(const std::string& name) {
+  return ::strcasecmp(name.c_str(), "Content-Type") == 0;
+}
+
+/// The library decodes percent signs in header values, so a value may hold the end of a line.
+bool has_line_ends(const httplib::Request& request) {
+  return std::any_of(request.headers.begin(), request.headers.end(), [](const auto& header) {
+    return header.second.find_first_of(std::string_view("\r\n\0", 3)) != std::string::npos;
+  });
+}
+
 void write_answer(httplib::Response& response, const final_answer& end, const std::string& id) {
   response.status = end.status;
   if (end.retry_after) {
@@ -115,7 +127,7 @@
   response.set_header(headers::outcome, to_string(end.result));
   std::string type;
   for (const auto& [name, value] : end.upstream_answer->headers) {
-    if (name == "Content-Type") {
+    if (is_content_type(name)) {
       type = value;
     } else {
       response.set_header(name, value);
@@ -215,11 +227,12 @@
     const route where = split_target(request.target);
     const std::string id = request.get_header_value(headers::request_id);
     gateway::call_arrived event;
-    if (!is_request_id(id) || !read_time_left(request, event) || !read_chain(request, event)) {
+    if (has_line_ends(request) || !is_request_id(id) || !read_time_left(request, event) ||
+        !read_chain(request, event)) {
       response.status = status_bad_request;
-      write_error(
-          response, outcome::not_run, "",
-          "a Catkintack-Request-Id, -Time-Left-Ms, -Depth or -Retries-Left header is malformed");
+      write_error(response, outcome::not_run, "",
+                  "a header is malformed: one with a line end, or "
+                  "Catkintack-Request-Id, -Time-Left-Ms, -Depth or -Retries-Left");
       return;
     }
     const std::string key = request.get_header_value(headers::api_key);
--- a/src/catkintack/net/upstream_client.cpp
+++ b/src/catkintack/net/upstream_client.cpp
@@ -1,13 +1,14 @@
 #include "catkintack/net/upstream_client.hpp"
 
-#include <httplib.h>
-
 #include <algorithm>
+#include <cctype>
 #include <charconv>
 #include <map>
 #include <mutex>
+#include <utility>
 
 #include "catkintack/net/headers.hpp"
+#include "catkintack/net/http_connection.hpp"
 #include "catkintack/net/load_header.hpp"
 
 namespace catkintack::net {
@@ -17,27 +18,21 @@
 
 constexpr int status_unavailable = 503;
 
-using connection = std::unique_ptr<httplib::Client>;
-
-connection connect_to(const base::address& where, const upstream_client_options& options) {
-  auto client = std::make_unique<httplib::Client>(where.ip, where.port);
-  client->set_tcp_nodelay(true);
-  client->set_keep_alive(true);
-  client->set_url_encode(false);
-  client->set_decompress(false);
-  client->set_connection_timeout(0, options.connect_timeout.count());
-  return client;
-}
+/// Shared because an exchange may be cancelled by another thread while it ends.
+using connection = std::shared_ptr<http_connection>;
 
-httplib::Request to_httplib(const upstream_request& request) {
-  httplib::Request converted;
-  converted.method = request.method;
-  converted.path = request.target;
+std::string to_wire(const upstream_request& request,
+                    const base::address& where,
+                    base::duration time_left) {
+  const auto left_ms = std::chrono::ceil<std::chrono::milliseconds>(time_left).count();
+  std::string wire = request.method + " " + request.target + " HTTP/1.1\r\n";
+  wire += "Host: " + base::to_string(where) + "\r\n";
   for (const auto& [name, value] : request.headers) {
-    converted.headers.emplace(name, value);
+    wire += name + ": " + value + "\r\n";
   }
-  converted.body = request.body;
-  return converted;
+  wire += std::string(headers::time_left) + ": " + std::to_string(left_ms) + "\r\n";
+  wire += "Content-Length: " + std::to_string(request.body.size()) + "\r\n\r\n";
+  return wire + request.body;
 }
 
 bool is_hop_by_hop(const std::string& name) {
@@ -49,8 +44,8 @@
   return std::find(std::begin(names), std::end(names), lower) != std::end(names);
 }
 
-std::optional<base::duration> read_retry_after(const httplib::Response& response) {
-  const std::string text = response.get_header_value(headers::retry_after);
+std::optional<base::duration> read_retry_after(const http_response& response) {
+  const std::string text = find_header(response.headers, headers::retry_after).value_or("");
   std::uint32_t seconds = 0;
   const char* const end = text.data() + text.size();
   const auto [rest, error] = std::from_chars(text.data(), end, seconds);
@@ -60,22 +55,24 @@
   return std::chrono::seconds(seconds);
 }
 
-exchange_result read_answer(const httplib::Response& response) {
+exchange_result failed(attempt_result result) { return {result, nullptr, {}, {}}; }
+
+exchange_result read_answer(http_response response) {
   exchange_result end;
-  end.load = parse_load_report(response.get_header_value(headers::load));
+  end.load = parse_load_report(find_header(response.headers, headers::load).value_or(""));
   end.retry_after = read_retry_after(response);
-  const bool said_not_run = response.get_header_value(headers::outcome) == "not_run";
+  const bool said_not_run = find_header(response.headers, headers::outcome) == "not_run";
   if (response.status == status_unavailable && said_not_run) {
     end.result = attempt_result::refused;
-    end.shed = response.get_header_value(headers::shed) == "1";
+    end.shed = find_header(response.headers, headers::shed) == "1";
     return end;
   }
   auto answer = std::make_shared<delivery::answer>();
   answer->status = response.status;
-  answer->body = response.body;
-  for (const auto& [name, value] : response.headers) {
+  answer->body = std::move(response.body);
+  for (auto& [name, value] : response.headers) {
     if (!is_hop_by_hop(name) && name != headers::load) {
-      answer->headers.emplace_back(name, value);
+      answer->headers.emplace_back(std::move(name), std::move(value));
     }
   }
   end.result = attempt_result::answered;
@@ -86,44 +83,98 @@
 }  // namespace
 
 struct upstream_client::implementation {
+  /// The idle connections to one upstream.
+  struct pool {
+    std::uint64_t generation = 0;  // Raised when all connections opened so far are given up.
+    std::vector<connection> idle;
+  };
+
+  struct taken_connection {
+    connection client;
+    std::uint64_t generation = 0;
+  };
+
+  struct exchange_in_flight {
+    connection client;
+    bool cancelled = false;
+  };
+
   implementation(upstream_client_options chosen, base::clock_hook chosen_clock)
       : options(chosen), clock(std::move(chosen_clock)) {}
 
-  connection take(const base::address& where) {
-    const std::lock_guard lock(mutex);
-    std::vector<connection>& pool = idle[where];
-    if (pool.empty()) {
-      return nullptr;
+  /// The client is null when no connection could be made.
+  taken_connection take(const base::address& where, base::instant deadline) {
+    std::unique_lock lock(mutex);
+    pool& from = pools[where];
+    while (!from.idle.empty()) {
+      connection client = std::move(from.idle.back());
+      from.idle.pop_back();
+      if (client->is_idle()) {
+        return {std::move(client), from.generation};
+      }
     }
-    connection taken = std::move(pool.back());
-    pool.pop_back();
-    return taken;
+    const std::uint64_t generation = from.generation;
+    lock.unlock();
+    const base::duration left = std::min(options.connect_timeout, deadline - clock());
+    return {http_connection::connect(where, left), generation};
   }
 
-  void give_back(const base::address& where, connection used) {
+  void give_back(const base::address& where, taken_connection used) {
     const std::lock_guard lock(mutex);
-    std::vector<connection>& pool = idle[where];
-    if (pool.size() < options.max_idle_connections) {
-      pool.push_back(std::move(used));
+    pool& to = pools[where];
+    if (to.generation == used.generation && to.idle.size() < options.max_idle_connections) {
+      to.idle.push_back(std::move(used.client));
     }
   }
 
-  void enter(const exchange_key& key, httplib::Client* client) {
+  /// Gives up all connections to an upstream that were opened so far.
+  void retire(const base::address& where) {
     const std::lock_guard lock(mutex);
-    in_flight[key] = client;
+    pool& from = pools[where];
+    ++from.generation;
+    from.idle.clear();
+  }
+
+  void enter(const exchange_key& key, const connection& client) {
+    const std::lock_guard lock(mutex);
+    in_flight[key] = {client, false};
   }
 
   /// Returns whether the exchange was cancelled.
   bool leave(const exchange_key& key) {
     const std::lock_guard lock(mutex);
-    return in_flight.erase(key) == 0;
+    const auto found = in_flight.find(key);
+    const bool cancelled = found->second.cancelled;
+    in_flight.erase(found);
+    return cancelled;
+  }
+
+  exchange_result conclude(const base::address& where,
+                           taken_connection used,
+                           http_end end,
+                           bool cancelled,
+                           http_response response) {
+    if (end == http_end::whole) {
+      if (response.reusable && !cancelled) {
+        give_back(where, std::move(used));
+      }
+      return read_answer(std::move(response));
+    }
+    if (end == http_end::not_sent) {
+      return failed(attempt_result::not_sent);
+    }
+    if (cancelled) {
+      return failed(attempt_result::cancelled);
+    }
+    retire(where);
+    return failed(end == http_end::timed_out ? attempt_result::timed_out : attempt_result::broken);
   }
 
   upstream_client_options options;
   base::clock_hook clock;
   std::mutex mutex;
-  std::map<base::address, std::vector<connection>> idle;
-  std::map<exchange_key, httplib::Client*> in_flight;
+  std::map<base::address, pool> pools;
+  std::map<exchange_key, exchange_in_flight> in_flight;
 };
 
 upstream_client::upstream_client(upstream_client_options options, base::clock_hook clock)
@@ -136,50 +187,32 @@
                                           const upstream_request& request,
                                           base::instant deadline) {
   implementation& self = *implementation_;
-  connection client = self.take(where);
-  if (!client) {
-    client = connect_to(where, self.options);
+  if (self.clock() >= deadline) {
+    return failed(attempt_result::not_sent);
   }
+  auto taken = self.take(where, deadline);
   const base::duration left = deadline - self.clock();
-  if (left <= base::duration::zero()) {
-    return {attempt_result::not_sent, nullptr, {}, {}};
+  if (!taken.client || left <= base::duration::zero()) {
+    return failed(attempt_result::not_sent);
   }
-  client->set_read_timeout(left);
-  client->set_write_timeout(left);
-  httplib::Request message = to_httplib(request);
-  const auto left_ms = std::chrono::ceil<std::chrono::milliseconds>(left).count();
-  message.headers.emplace(headers::time_left, std::to_string(left_ms));
-  self.enter(key, client.get());
-  const auto result = client->send(message);
+  const std::string wire = to_wire(request, where, left);
+  http_response response;
+  self.enter(key, taken.client);
+  const http_end end =
+      taken.client->exchange(wire, request.method != "HEAD",
+                             {self.clock, deadline, self.options.max_answer_bytes}, response);
   const bool cancelled = self.leave(key);
-  if (result) {
-    exchange_result end = read_answer(*result);
-    if (!cancelled) {
-      self.give_back(where, std::move(client));
-    }
-    return end;
-  }
-  const bool connected = result.error() != httplib::Error::Connection &&
-                         result.error() != httplib::Error::ConnectionTimeout;
-  if (!connected) {
-    return {attempt_result::not_sent, nullptr, {}, {}};
-  }
-  if (cancelled) {
-    return {attempt_result::cancelled, nullptr, {}, {}};
-  }
-  const bool late = self.clock() >= deadline;
-  return {late ? attempt_result::timed_out : attempt_result::broken, nullptr, {}, {}};
+  return self.conclude(where, std::move(taken), end, cancelled, std::move(response));
 }
 
 void upstream_client::cancel(const exchange_key& key) {
   implementation& self = *implementation_;
   const std::lock_guard lock(self.mutex);
   const auto found = self.in_flight.find(key);
-  if (found == self.in_flight.end()) {
-    return;
+  if (found != self.in_flight.end()) {
+    found->second.cancelled = true;
+    found->second.client->interrupt();
   }
-  found->second->stop();
-  self.in_flight.erase(found);
 }
 
 }  // namespace catkintack::net
--- /dev/null
+++ b/src/catkintack/net/upstream_client_test.cpp
@@ -0,0 +1,134 @@
+#include "catkintack/net/upstream_client.hpp"
+
+#include <gtest/gtest.h>
+
+#include "free_port.hpp"
+#include "raw_server.hpp"
+
+namespace catkintack::net {
+namespace {
+
+using routing::attempt_result;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using tests::raw_server;
+
+const std::string counted =
+    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nServed-By: press-1\r\n\r\nlabel";
+const std::string chunked =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nlab\r\n2\r\nel\r\n0\r\n\r\n";
+
+class upstream_client_test : public ::testing::Test {
+ protected:
+  exchange_result get(const base::address& where, base::duration time_left = seconds(30)) {
+    ++last_call_;
+    return client_.exchange({base::call_id(last_call_), base::attempt_number(1)}, where,
+                            {"GET", "/labels", {}, ""}, clock_() + time_left);
+  }
+
+  /// The result of an exchange in which the upstream sends these bytes and closes.
+  attempt_result result_of(const std::string& bytes) {
+    const raw_server server([&bytes](int descriptor) {
+      raw_server::send(descriptor, bytes);
+      return false;
+    });
+    return get(server.where()).result;
+  }
+
+  base::clock_hook clock_ = base::system_clock_hook();
+  upstream_client client_{{milliseconds(250), 64, 1000}, clock_};
+  std::uint64_t last_call_ = 0;
+};
+
+TEST_F(upstream_client_test, answer_cut_at_any_byte_is_broken) {
+  for (const std::string& whole : {counted, chunked}) {
+    for (std::size_t length = 0; length < whole.size(); ++length) {
+      EXPECT_EQ(result_of(whole.substr(0, length)), attempt_result::broken) << length;
+    }
+    EXPECT_EQ(result_of(whole), attempt_result::answered);
+  }
+}
+
+TEST_F(upstream_client_test, answer_whose_end_is_not_marked_is_broken) {
+  EXPECT_EQ(result_of("HTTP/1.1 200 OK\r\n\r\nlabel"), attempt_result::broken);
+  EXPECT_EQ(result_of("HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\nlabel"), attempt_result::broken);
+  EXPECT_EQ(result_of("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 3\r\n\r\nlabel"),
+            attempt_result::broken);
+  EXPECT_EQ(result_of("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
+                      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+            attempt_result::broken);
+  EXPECT_EQ(result_of("nonsense\r\n\r\n"), attempt_result::broken);
+}
+
+TEST_F(upstream_client_test, answer_over_the_limit_is_broken) {
+  EXPECT_EQ(result_of("HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n" + std::string(1001, 'x')),
+            attempt_result::broken);
+}
+
+TEST_F(upstream_client_test, answer_that_drips_for_ever_ends_at_the_deadline) {
+  const raw_server server([](int descriptor) {
+    while (raw_server::send(descriptor, "HTTP/1.1 200 OK\r\n") &&
+           raw_server::send(descriptor, "Drip: drop\r\n")) {
+    }
+    return false;
+  });
+  const auto result = get(server.where(), milliseconds(50)).result;
+  EXPECT_TRUE(result == attempt_result::timed_out || result == attempt_result::broken);
+}
+
+TEST_F(upstream_client_test, silent_upstream_times_out) {
+  const raw_server server([](int) { return true; });
+  EXPECT_EQ(get(server.where(), milliseconds(20)).result, attempt_result::timed_out);
+}
+
+TEST_F(upstream_client_test, whole_exchange_keeps_its_connection) {
+  const raw_server server([](int descriptor) { return raw_server::send(descriptor, counted); });
+  for (int turn = 0; turn < 3; ++turn) {
+    const auto end = get(server.where());
+    ASSERT_EQ(end.result, attempt_result::answered);
+    EXPECT_EQ(end.answer->body, "label");
+  }
+  EXPECT_EQ(server.connections(), 1);
+}
+
+TEST_F(upstream_client_test, connection_with_unasked_bytes_is_not_used_again) {
+  const raw_server server([](int descriptor) {
+    return raw_server::send(descriptor,
+                            counted + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother");
+  });
+  for (int turn = 0; turn < 3; ++turn) {
+    EXPECT_EQ(get(server.where()).answer->body, "label");
+  }
+  EXPECT_EQ(server.connections(), 3);
+}
+
+TEST_F(upstream_client_test, connection_closed_by_the_upstream_is_replaced) {
+  const raw_server server([](int descriptor) {
+    raw_server::send(descriptor, counted);
+    return false;
+  });
+  for (int turn = 0; turn < 3; ++turn) {
+    const auto end = get(server.where());
+    // The end may arrive after the check, in which case the request may have run.
+    EXPECT_TRUE(end.result == attempt_result::answered || end.result == attempt_result::broken);
+  }
+}
+
+TEST_F(upstream_client_test, refused_connection_and_past_deadline_are_not_sent) {
+  EXPECT_EQ(get(tests::free_address()).result, attempt_result::not_sent);
+  const raw_server server([](int descriptor) { return raw_server::send(descriptor, counted); });
+  EXPECT_EQ(get(server.where(), seconds(0)).result, attempt_result::not_sent);
+  EXPECT_EQ(server.connections(), 0);
+}
+
+TEST_F(upstream_client_test, cancelled_exchange_ends) {
+  upstream_client* const client = &client_;
+  const raw_server server([client](int) {
+    client->cancel({base::call_id(1), base::attempt_number(1)});
+    return true;
+  });
+  EXPECT_EQ(get(server.where()).result, attempt_result::cancelled);
+}
+
+}  // namespace
+}  // namespace catkintack::net
--- /dev/null
+++ b/tests/raw_server.hpp
@@ -0,0 +1,106 @@
+/// @file
+/// A TCP server for tests that answers every request with given bytes.
+#pragma once
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+
+#include <atomic>
+#include <functional>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "catkintack/base/address.hpp"
+#include "catkintack/net/socket.hpp"
+
+namespace catkintack::tests {
+
+/// @brief Serves each connection on a thread of its own until a request cannot be read.
+class raw_server {
+ public:
+  /// Answers one request on a connection; false closes the connection.
+  using responder = std::function<bool(int descriptor)>;
+
+  explicit raw_server(responder respond) : respond_(std::move(respond)) {
+    listening_ = net::socket_handle(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    sockaddr_in any{};
+    any.sin_family = AF_INET;
+    any.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ::bind(listening_.descriptor(), reinterpret_cast<const sockaddr*>(&any), sizeof(any));
+    ::listen(listening_.descriptor(), 64);
+    socklen_t size = sizeof(any);
+    ::getsockname(listening_.descriptor(), reinterpret_cast<sockaddr*>(&any), &size);
+    where_ = {"127.0.0.1", ntohs(any.sin_port)};
+    thread_ = std::thread([this] { accept_all(); });
+  }
+  raw_server(const raw_server&) = delete;
+  raw_server& operator=(const raw_server&) = delete;
+  raw_server(raw_server&&) = delete;
+  raw_server& operator=(raw_server&&) = delete;
+  ~raw_server() {
+    stopping_ = true;
+    listening_.shut_down();
+    thread_.join();
+    for (const net::socket_handle& accepted : accepted_) {
+      accepted.shut_down();
+    }
+    for (std::thread& served : served_) {
+      served.join();
+    }
+  }
+
+  const base::address& where() const { return where_; }
+  int connections() const { return connections_; }
+
+  /// @brief Sends bytes.
+  /// @return False when the connection is closed.
+  static bool send(int descriptor, const std::string& bytes) {
+    return bytes.empty() || ::send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL) > 0;
+  }
+
+ private:
+  void accept_all() {
+    while (!stopping_) {
+      net::socket_handle accepted(
+          ::accept4(listening_.descriptor(), nullptr, nullptr, SOCK_CLOEXEC));
+      if (!accepted.valid()) {
+        continue;
+      }
+      ++connections_;
+      const int descriptor = accepted.descriptor();
+      accepted_.push_back(std::move(accepted));
+      served_.emplace_back([this, descriptor] { serve(descriptor); });
+    }
+  }
+
+  void serve(int descriptor) {
+    while (read_head(descriptor) && respond_(descriptor)) {
+    }
+    ::shutdown(descriptor, SHUT_RDWR);
+  }
+
+  static bool read_head(int descriptor) {
+    std::string head;
+    char byte = 0;
+    while (head.find("\r\n\r\n") == std::string::npos) {
+      if (::recv(descriptor, &byte, 1, 0) <= 0) {
+        return false;
+      }
+      head += byte;
+    }
+    return true;
+  }
+
+  responder respond_;
+  net::socket_handle listening_;
+  base::address where_;
+  std::atomic<bool> stopping_ = false;
+  std::atomic<int> connections_ = 0;
+  std::vector<net::socket_handle> accepted_;
+  std::vector<std::thread> served_;
+  std::thread thread_;
+};
+
+}  // namespace catkintack::tests
