Callers' side: whole bodies of any type, 411 and 428, idle connections end with the server

Ruled out: shutting the reading side of sockets down from outside, which also keeps the library from writing the answer in progress.

Change: chunked requests are refused with 411 and not_run; headers that the library acts upon are renamed before it reads the body; values with line ends are refused; connection_server ends idle connections on stop, serves what has arrived, and closes a connection on which bytes follow a request.

--- a/include/catkintack/daemon/http_listener.hpp
+++ b/include/catkintack/daemon/http_listener.hpp
@@ -17,6 +17,8 @@
 
 namespace catkintack::daemon {
 
+class connection_server;
+
 /// @brief An error of the daemon layer.
 struct daemon_error {
   std::string message;
@@ -45,13 +47,13 @@
   http_listener& operator=(const http_listener&) = delete;
   http_listener(http_listener&&) = delete;
   http_listener& operator=(http_listener&&) = delete;
-  /// @brief Stops listening; requests in progress finish.
+  /// @brief Stops listening; requests in progress finish, idle connections are closed.
   ~http_listener();
 
  private:
-  explicit http_listener(std::unique_ptr<httplib::Server> server);
+  explicit http_listener(std::unique_ptr<connection_server> server);
 
-  std::unique_ptr<httplib::Server> server_;
+  std::unique_ptr<connection_server> server_;
   std::thread thread_;
 };
 
--- a/src/catkintack/daemon/http_listener.cpp
+++ b/src/catkintack/daemon/http_listener.cpp
@@ -7,14 +7,15 @@
 #include <string>
 #include <utility>
 
+#include "catkintack/daemon/connection_server.hpp"
+#include "catkintack/daemon/raw_body.hpp"
 #include "catkintack/net/headers.hpp"
 
 namespace catkintack::daemon {
 namespace {
 
 constexpr int listen_backlog = 1024;  // The library's own backlog of 5 drops bursts.
-constexpr std::size_t requests_per_connection = 1'000'000'000;
-constexpr time_t read_limit_seconds = 10;
+constexpr base::duration transfer_limit = std::chrono::seconds(10);
 
 constexpr int status_bad_request = 400;
 constexpr int status_length_required = 411;
@@ -94,7 +95,8 @@
 boost::leaf::result<std::unique_ptr<http_listener>> http_listener::open(
     const http_listener_options& options,
     const std::function<void(httplib::Server&)>& add_routes) {
-  auto server = std::make_unique<httplib::Server>();
+  auto server =
+      std::make_unique<connection_server>(connection_limits{options.idle_limit, transfer_limit});
   int listening = -1;
   server->set_socket_options([&listening](socket_t descriptor) {
     const int on = 1;
@@ -102,14 +104,16 @@
     listening = descriptor;
   });
   server->set_tcp_nodelay(true);
-  server->set_keep_alive_max_count(requests_per_connection);
-  server->set_keep_alive_timeout(
-      std::chrono::duration_cast<std::chrono::seconds>(options.idle_limit).count());
-  server->set_read_timeout(read_limit_seconds);
   server->set_payload_max_length(options.max_body_bytes);
   const std::size_t threads = options.max_connections;
   server->new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
-  server->set_pre_routing_handler(check_length);
+  server->set_pre_routing_handler([](const httplib::Request& request, httplib::Response& response) {
+    const auto checked = check_length(request, response);
+    if (checked == httplib::Server::HandlerResponse::Unhandled) {
+      hide_headers(request);
+    }
+    return checked;
+  });
   server->set_post_routing_handler([](const httplib::Request&, httplib::Response& response) {
     if (is_request_left_over(response)) {
       close_after(response);
@@ -124,7 +128,7 @@
   return std::unique_ptr<http_listener>(new http_listener(std::move(server)));
 }
 
-http_listener::http_listener(std::unique_ptr<httplib::Server> server)
+http_listener::http_listener(std::unique_ptr<connection_server> server)
     : server_(std::move(server)), thread_([this] { server_->listen_after_bind(); }) {
   while (!server_->is_running()) {
     std::this_thread::yield();
@@ -132,6 +136,7 @@
 }
 
 http_listener::~http_listener() {
+  server_->close_connections();
   server_->stop();
   thread_.join();
 }
--- a/src/catkintack/daemon/traffic_server.cpp
+++ b/src/catkintack/daemon/traffic_server.cpp
@@ -6,11 +6,13 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstring>
 #include <nlohmann/json.hpp>
 #include <string_view>
 #include <utility>
 
 #include "catkintack/config/key_hash.hpp"
+#include "catkintack/daemon/raw_body.hpp"
 #include "catkintack/net/headers.hpp"
 
 namespace catkintack::daemon {
