--- a/src/catkintack/daemon/traffic_server.cpp
+++ b/src/catkintack/daemon/traffic_server.cpp
@@ -69,7 +69,7 @@
   converted.body = request.body;
   for (const auto& [name, value] : request.headers) {
     if (!is_hop_by_hop(name) && !is_rewritten(name)) {
-      converted.headers.emplace_back(name, value);
+      converted.headers.emplace_back(shown_name(name), value);
     }
   }
   return converted;
--- a/src/catkintack/daemon/traffic_server_test.cpp
+++ b/src/catkintack/daemon/traffic_server_test.cpp
@@ -152,8 +152,8 @@
        {"Content-Type: multipart/form-data; boundary=x\r\n",
         "Content-Type: application/x-www-form-urlencoded\r\n", "Content-Encoding: gzip\r\n",
         "Accept-Encoding: gzip\r\n", "Range: bytes=1-2\r\n"}) {
-    const std::string received =
-        talk(post("id" + std::to_string(std::string(type).size()), type, std::string(body_bytes_, 'x')));
+    const std::string received = talk(
+        post("id" + std::to_string(std::string(type).size()), type, std::string(body_bytes_, 'x')));
     EXPECT_EQ(received.substr(received.size() - 5), "label") << type << received;
     EXPECT_NE(received.find("Catkintack-Outcome: answer"), std::string::npos) << type << received;
   }
--- a/stand_ins/upstream.cpp
+++ b/stand_ins/upstream.cpp
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
+#include <fstream>
 #include <iostream>
 #include <map>
 #include <mutex>
@@ -47,7 +48,8 @@
 
 class upstream {
  public:
-  upstream(std::string name, std::uint32_t slots) : name_(std::move(name)), slots_(slots) {}
+  upstream(std::string name, std::uint32_t slots, const std::string& run_log)
+      : name_(std::move(name)), slots_(slots), run_log_(run_log, std::ios::app) {}
 
   void add_routes(httplib::Server& server) {
     server.Get("/health", [](const Request&, Response& s) { s.set_content("ok\n", "text/plain"); });
@@ -125,6 +127,7 @@
     {
       const std::lock_guard lock(mutex_);
       ++runs_[id];
+      run_log_ << id << "\n" << std::flush;  // Outlives a kill of this process.
       ++total_runs_;
     }
     std::uint64_t work = number_header(request, "Work-Us", behaviour_.work_us);
@@ -183,6 +186,7 @@
 
   std::string name_;
   std::uint32_t slots_;
+  std::ofstream run_log_;
   behaviour behaviour_;
   std::mutex mutex_;
   std::condition_variable changed_;
@@ -195,15 +199,15 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  const std::string usage = "IP:PORT NAME SLOTS";
+  const std::string usage = "IP:PORT NAME SLOTS [RUN_LOG]";
   const auto where = catkintack::stand_ins::address_argument(argc, argv, usage);
   constexpr int arguments = 4;
-  if (argc != arguments) {
+  if (argc != arguments && argc != arguments + 1) {
     std::cerr << "usage: " << argv[0] << " " << usage << "\n";
     return 2;
   }
   const auto slots = static_cast<std::uint32_t>(std::strtoul(argv[3], nullptr, 10));
-  upstream served(argv[2], slots);
+  upstream served(argv[2], slots, argc > arguments ? argv[arguments] : "/dev/null");
   const int code = catkintack::stand_ins::serve(
       where, [&served](httplib::Server& server) { served.add_routes(server); },
       [&served] { served.finish(); });
--- a/tools/catkintack_load.cpp
+++ b/tools/catkintack_load.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <fstream>
 #include <iostream>
 #include <memory>
 #include <mutex>
@@ -18,173 +19,27 @@
 #include <vector>
 
 #include "catkintack/base/address.hpp"
-#include "catkintack/net/headers.hpp"
+#include "load_sender.hpp"
 
 namespace {
 
-namespace headers = catkintack::net::headers;
-using catkintack::base::address;
-using clock_type = std::chrono::steady_clock;
+using catkintack::tools::clock_type;
+using catkintack::tools::load_options;
+using catkintack::tools::load_sender;
+using catkintack::tools::tally;
+using catkintack::tools::target;
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
 constexpr int exit_usage = 2;
 constexpr int status_ok = 200;
 constexpr milliseconds check_interval{100};
-constexpr time_t answer_limit_seconds = 10;
-
-struct target {
-  address callers;
-  address admin;
-  std::atomic<bool> ready = false;
-};
-
-struct load_options {
-  std::vector<std::unique_ptr<target>> targets;
-  std::string path = "/label-press/labels";
-  std::string key;
-  std::string method = "POST";
-  int rate_per_second = 200;
-  int seconds = 10;
-  int threads = 32;
-};
-
-struct tally {
-  std::uint64_t sent = 0;
-  std::uint64_t answers = 0;
-  std::uint64_t not_run = 0;
-  std::uint64_t unknown = 0;
-  std::uint64_t cut = 0;  // The connection broke before a whole response.
-  std::uint64_t wrong_body = 0;
-  std::uint64_t no_target = 0;
-  std::vector<std::int64_t> latencies_us;  // Of answers, from the scheduled time.
-
-  void add(const tally& other) {
-    sent += other.sent;
-    answers += other.answers;
-    not_run += other.not_run;
-    unknown += other.unknown;
-    cut += other.cut;
-    wrong_body += other.wrong_body;
-    no_target += other.no_target;
-    latencies_us.insert(latencies_us.end(), other.latencies_us.begin(), other.latencies_us.end());
-  }
-};
-
-std::unique_ptr<httplib::Client> connect_to(const address& where) {
-  auto client = std::make_unique<httplib::Client>(where.ip, where.port);
-  client->set_tcp_nodelay(true);
-  client->set_keep_alive(true);
-  client->set_connection_timeout(1);
-  client->set_read_timeout(answer_limit_seconds);
-  return client;
-}
-
-/// Sends the requests of one thread.
-class sender {
- public:
-  sender(load_options& options, int index) : options_(options), index_(index) {
-    for (const auto& entry : options.targets) {
-      clients_.push_back(connect_to(entry->callers));
-      tokens_.emplace_back();
-    }
-  }
-
-  void run(clock_type::time_point start) {
-    const auto interval = microseconds(std::chrono::seconds(1)) / options_.rate_per_second;
-    const int total = options_.rate_per_second * options_.seconds;
-    for (int number = index_; number < total; number += options_.threads) {
-      const auto due = start + interval * number;
-      std::this_thread::sleep_until(due);
-      send(number, due);
-    }
-  }
-
-  const tally& counts() const { return counts_; }
-
- private:
-  int choose_target(int number) const {
-    const int size = static_cast<int>(options_.targets.size());
-    for (int step = 0; step < size; ++step) {
-      const int candidate = (number + step) % size;
-      if (options_.targets[candidate]->ready) {
-        return candidate;
-      }
-    }
-    return -1;
-  }
-
-  void send(int number, clock_type::time_point due) {
-    ++counts_.sent;
-    const int chosen = choose_target(number);
-    if (chosen < 0) {
-      ++counts_.no_target;
-      return;
-    }
-    if (tokens_[chosen].empty() && !learn_token(chosen)) {
-      ++counts_.not_run;
-      return;
-    }
-    httplib::Request request;
-    request.method = options_.method;
-    request.path = options_.path;
-    const std::string id = tokens_[chosen] + "." + std::to_string(number);
-    request.set_header(headers::request_id, id);
-    request.set_header(headers::api_key, options_.key);
-    request.body = "load " + std::to_string(number);
-    const auto result = clients_[chosen]->send(request);
-    if (!result) {
-      count_failure(result.error());
-      tokens_[chosen].clear();
-      return;
-    }
-    count(*result, "answer to " + id + ": " + request.body, due);
-  }
-
-  bool learn_token(int chosen) {
-    const auto result = clients_[chosen]->Options("/");
-    if (result) {
-      tokens_[chosen] = result->get_header_value(headers::token);
-    }
-    return !tokens_[chosen].empty();
-  }
-
-  void count_failure(httplib::Error error) {
-    const bool refused =
-        error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout;
-    ++(refused ? counts_.not_run : counts_.cut);
-  }
-
-  void count(const httplib::Response& response,
-             const std::string& expected,
-             clock_type::time_point due) {
-    const std::string outcome = response.get_header_value(headers::outcome);
-    if (outcome == "not_run") {
-      ++counts_.not_run;
-      return;
-    }
-    if (outcome == "unknown") {
-      ++counts_.unknown;
-      return;
-    }
-    ++counts_.answers;
-    if (response.status == status_ok && response.body != expected) {
-      ++counts_.wrong_body;
-    }
-    const auto spent = std::chrono::duration_cast<microseconds>(clock_type::now() - due);
-    counts_.latencies_us.push_back(spent.count());
-  }
-
-  load_options& options_;
-  int index_;
-  std::vector<std::unique_ptr<httplib::Client>> clients_;
-  std::vector<std::string> tokens_;
-  tally counts_;
-};
+constexpr milliseconds check_timeout{500};
 
 void check_once(target& checked) {
   httplib::Client client(checked.admin.ip, checked.admin.port);
-  client.set_connection_timeout(0, microseconds(milliseconds(500)).count());
+  client.set_connection_timeout(0, microseconds(check_timeout).count());
+  client.set_read_timeout(0, microseconds(check_timeout).count());
   const auto answer = client.Get("/readyz");
   checked.ready = answer && answer->status == status_ok;
 }
@@ -206,6 +61,8 @@
                                   {"not_run", total.not_run},
                                   {"unknown", total.unknown},
                                   {"cut", total.cut},
+                                  {"cut_once", total.cut_once},
+                                  {"repeated", total.repeated},
                                   {"wrong_body", total.wrong_body},
                                   {"no_target", total.no_target},
                                   {"p50_us", quantile(total.latencies_us, median)},
@@ -213,6 +70,14 @@
   std::cout << summary.dump() << "\n";
 }
 
+std::string not_run_lines(const tally& total) {
+  std::string lines;
+  for (const std::string& id : total.not_run_ids) {
+    lines += id + "\n";
+  }
+  return lines;
+}
+
 void run(load_options& options) {
   std::atomic<bool> done = false;
   for (const auto& entry : options.targets) {
@@ -226,11 +91,11 @@
       std::this_thread::sleep_for(check_interval);
     }
   });
-  std::vector<std::unique_ptr<sender>> senders;
+  std::vector<std::unique_ptr<load_sender>> senders;
   std::vector<std::thread> threads;
   const auto start = clock_type::now() + milliseconds(50);
   for (int index = 0; index < options.threads; ++index) {
-    senders.push_back(std::make_unique<sender>(options, index));
+    senders.push_back(std::make_unique<load_sender>(options, index));
     threads.emplace_back([&, index] { senders[index]->run(start); });
   }
   tally total;
@@ -241,6 +106,7 @@
   done = true;
   balancer.join();
   print(total);
+  std::ofstream(options.not_run_file) << not_run_lines(total);
 }
 
 /// Reads "callers/admin,callers/admin"; false for malformed text.
@@ -271,6 +137,7 @@
   load_options options;
   const char* targets = "";
   const char* key = "";
+  const char* not_run_file = "/dev/null";
   const char* path = options.path.c_str();
   const char* method = options.method.c_str();
   const poptOption table[] = {
@@ -280,12 +147,15 @@
       {"method", '\0', POPT_ARG_STRING, &method, 0, "HTTP method", "METHOD"},
       {"rate", '\0', POPT_ARG_INT, &options.rate_per_second, 0, "Requests per second", "N"},
       {"seconds", '\0', POPT_ARG_INT, &options.seconds, 0, "Length", "N"},
+      {"repeats", '\0', POPT_ARG_INT, &options.repeats, 0, "Repeats at other hosts", "N"},
+      {"not-run-file", '\0', POPT_ARG_STRING, &not_run_file, 0, "Lists ids told not_run", "FILE"},
       {"threads", '\0', POPT_ARG_INT, &options.threads, 0, "Requests at once", "N"},
       POPT_AUTOHELP POPT_TABLEEND};
   const std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> context(
       poptGetContext("catkintack-load", argc, argv, table, 0), &poptFreeContext);
   const bool parsed = poptGetNextOpt(context.get()) == -1;
   options.key = key;
+  options.not_run_file = not_run_file;
   options.path = path;
   options.method = method;
   const bool sane = options.rate_per_second > 0 && options.seconds > 0 && options.threads > 0;
