--- a/src/catkintack/daemon/http_listener.cpp
+++ b/src/catkintack/daemon/http_listener.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr int listen_backlog = 1024;  // The library's own backlog of 5 drops bursts.
+constexpr std::size_t requests_per_connection = 1'000'000'000;
 constexpr base::duration transfer_limit = std::chrono::seconds(10);
 
 constexpr int status_bad_request = 400;
@@ -104,6 +105,10 @@
     listening = descriptor;
   });
   server->set_tcp_nodelay(true);
+  // Only told to clients in a header; connection_server does not count.
+  server->set_keep_alive_max_count(requests_per_connection);
+  server->set_keep_alive_timeout(
+      std::chrono::duration_cast<std::chrono::seconds>(options.idle_limit).count());
   server->set_payload_max_length(options.max_body_bytes);
   const std::size_t threads = options.max_connections;
   server->new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
--- a/tools/load_sender.cpp
+++ b/tools/load_sender.cpp
@@ -1,5 +1,7 @@
 #include "load_sender.hpp"
 
+#include <unistd.h>
+
 #include <thread>
 
 #include "catkintack/net/headers.hpp"
@@ -82,7 +84,8 @@
     ++counts_.not_run;
     return;
   }
-  const std::string id = tokens_[chosen] + "." + std::to_string(number);
+  const std::string unique = std::to_string(::getpid()) + "-" + std::to_string(number);
+  const std::string id = tokens_[chosen] + "." + unique;
   const std::string body = "load " + std::to_string(number);
   end result = send_once(chosen, id, body);
   for (int turn = 1; turn <= options_.repeats; ++turn) {
