Prove the editor against lost answers and racing operators

Cause: an edit whose write failed for sure was reported as "failed" without its cause, and one whose answer was lost was not read back: the error of the nested LEAF handler did not reach the outer one. Change: the write's outcome is kept as a value.

--- a/src/catkintack/config/list_editor.cpp
+++ b/src/catkintack/config/list_editor.cpp
@@ -83,7 +83,7 @@
   const std::string text = to_json(document);
   BOOST_LEAF_CHECK(parse_document(document.kind, text));
   BOOST_LEAF_CHECK(check_size(document.kind, text));
-  return leaf::try_handle_some(
+  leaf::try_handle_all(
       [&]() -> leaf::result<void> {
         BOOST_LEAF_AUTO(swapped, store_.compare_and_swap(key_of(document.kind), revision, text));
         if (swapped == swap_result::applied) {
@@ -93,13 +93,17 @@
         }
         return {};
       },
-      [&](const config_error& error) -> leaf::result<void> {
+      [&](const config_error& error) {
+        state.last = error;
         if (error.kind == config_error_kind::write_unknown) {
           state.in_doubt = true;
           state.doubt_revision = revision;
         }
-        return leaf::new_error(error);
+      },
+      [&] {
+        state.last = {config_error_kind::store_unavailable, "the store call failed"};
       });
+  return {};
 }
 
 leaf::error_id list_editor::give_up(list_kind kind,
