--- a/include/catkintack/cli/command.hpp
+++ b/include/catkintack/cli/command.hpp
@@ -9,8 +9,8 @@
 #include <vector>
 
 #include "catkintack/base/address.hpp"
-#include "catkintack/cli/timeline_options.hpp"
 #include "catkintack/base/units.hpp"
+#include "catkintack/cli/timeline_options.hpp"
 
 namespace catkintack::cli {
 
@@ -36,8 +36,8 @@
   std::optional<double> rate_per_second;          ///< For `allowances set`.
   std::optional<unsigned> burst;                  ///< For `allowances set`.
   std::optional<unsigned> max_concurrent;         ///< For `allowances set`.
-  timeline_options timeline;  ///< For `timeline`.
-  bool reference = false;  ///< For `check-settings`: describe all keys.
+  timeline_options timeline;                      ///< For `timeline`.
+  bool reference = false;                         ///< For `check-settings`: describe all keys.
   std::vector<std::string> words;                 ///< For example {"plans", "list"}.
 };
 
