--- a/src/catkintack/daemon/traffic_server_test.cpp
+++ b/src/catkintack/daemon/traffic_server_test.cpp
@@ -81,7 +81,8 @@
   std::string talk(const std::string& bytes, bool end_sending = false) const {
     const net::socket_handle socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
     const sockaddr_in target = net::to_socket_address(settings_.callers);
-    ::connect(socket.descriptor(), reinterpret_cast<const sockaddr*>(&target), sizeof(target));
+    (void)::connect(socket.descriptor(), reinterpret_cast<const sockaddr*>(&target),
+                    sizeof(target));
     ::send(socket.descriptor(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
     if (end_sending) {
       ::shutdown(socket.descriptor(), SHUT_WR);
--- a/tests/raw_server.hpp
+++ b/tests/raw_server.hpp
@@ -28,10 +28,11 @@
     sockaddr_in any{};
     any.sin_family = AF_INET;
     any.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    ::bind(listening_.descriptor(), reinterpret_cast<const sockaddr*>(&any), sizeof(any));
-    ::listen(listening_.descriptor(), 64);
     socklen_t size = sizeof(any);
-    ::getsockname(listening_.descriptor(), reinterpret_cast<sockaddr*>(&any), &size);
+    // A failure shows as a test that cannot connect.
+    (void)::bind(listening_.descriptor(), reinterpret_cast<const sockaddr*>(&any), size);
+    (void)::listen(listening_.descriptor(), 64);
+    (void)::getsockname(listening_.descriptor(), reinterpret_cast<sockaddr*>(&any), &size);
     where_ = {"127.0.0.1", ntohs(any.sin_port)};
     thread_ = std::thread([this] { accept_all(); });
   }
