--- a/src/catkintack/net/upstream_client.cpp
+++ b/src/catkintack/net/upstream_client.cpp
@@ -28,7 +28,7 @@
   std::string wire = request.method + " " + request.target + " HTTP/1.1\r\n";
   wire += "Host: " + base::to_string(where) + "\r\n";
   for (const auto& [name, value] : request.headers) {
-    wire += name + ": " + value + "\r\n";
+    wire.append(name).append(": ").append(value).append("\r\n");
   }
   wire += std::string(headers::time_left) + ": " + std::to_string(left_ms) + "\r\n";
   wire += "Content-Length: " + std::to_string(request.body.size()) + "\r\n\r\n";
