--- a/src/catkintack/gateway/fleet_model.hpp
+++ b/src/catkintack/gateway/fleet_model.hpp
@@ -39,7 +39,7 @@
 
   /// An attempt that an upstream has not ended.
   struct exchange {
-    std::size_t host;
+    std::size_t host = 0;
     delivery::home sender;
     base::call_id call;
     base::attempt_number attempt;
@@ -48,7 +48,7 @@
 
   /// A call sent on, or the answer on its way back.
   struct message {
-    std::size_t sender;
+    std::size_t sender = 0;
     delivery::home sender_home;
     base::call_id call;
     base::host_id to;
