--- a/tools/added_latency.cpp
+++ b/tools/added_latency.cpp
@@ -115,11 +115,14 @@
 };
 
 phase_result run_phase(const bench_options& options, const phase& load) {
+  const auto count = static_cast<std::size_t>(options.threads);
   std::vector<std::unique_ptr<sender>> senders;
+  senders.reserve(count);
   for (int index = 0; index < options.threads; ++index) {
     senders.push_back(std::make_unique<sender>(options, load, index));
   }
   std::vector<std::thread> threads;
+  threads.reserve(count);
   const auto start = clock_type::now() + std::chrono::milliseconds(50);
   for (const auto& entry : senders) {
     threads.emplace_back([&entry, start] { entry->run(start); });
