--- a/src/catkintack/cli/list_edit.cpp
+++ b/src/catkintack/cli/list_edit.cpp
@@ -47,7 +47,8 @@
 std::string joined(const std::vector<std::string>& names) {
   std::string text;
   for (const std::string& name : names) {
-    text += (text.empty() ? "" : ", ") + name;
+    text += text.empty() ? "" : ", ";
+    text += name;
   }
   return text;
 }
--- a/src/catkintack/config/list_history.cpp
+++ b/src/catkintack/config/list_history.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cinttypes>
 #include <cstdio>
+#include <ranges>
 
 namespace catkintack::config {
 namespace {
@@ -24,10 +25,10 @@
 }
 
 const edit_record* last_edit_of(const list_document& document, const std::string& entry) {
-  for (auto record = document.history.rbegin(); record != document.history.rend(); ++record) {
-    for (const entry_change& change : record->changes) {
+  for (const edit_record& record : std::views::reverse(document.history)) {
+    for (const entry_change& change : record.changes) {
       if (change.entry == entry) {
-        return &*record;
+        return &record;
       }
     }
   }
@@ -60,12 +61,11 @@
 leaf::result<entry_map> entries_at(const list_document& document, base::list_version version) {
   entry_map entries = document.entries;
   base::list_version reached = document.stamp.version;
-  for (auto record = document.history.rbegin();
-       record != document.history.rend() && reached > version; ++record) {
-    if (record->version != reached) {
+  for (const edit_record& record : std::views::reverse(document.history)) {
+    if (reached <= version || record.version != reached) {
       break;
     }
-    for (const entry_change& change : record->changes) {
+    for (const entry_change& change : record.changes) {
       put(entries, change.entry, change.before);
     }
     reached = base::list_version(reached.value() - 1);
--- a/src/catkintack/config/list_rules.cpp
+++ b/src/catkintack/config/list_rules.cpp
@@ -13,6 +13,19 @@
   return leaf::new_error(config_error{config_error_kind::invalid_entry, message});
 }
 
+leaf::error_id dangling(const std::string& plan, const std::string& customer) {
+  return invalid("plan \"" + plan + "\" of customer \"" + customer + "\" has no allowance");
+}
+
+leaf::error_id unknown_service(const std::string& service, const std::string& entry) {
+  return invalid("service \"" + service + "\" of allowance \"" + entry +
+                 "\" has no upstream in the host list");
+}
+
+leaf::error_id doubled_key(const std::string& owner, const std::string& customer) {
+  return invalid("customers \"" + owner + "\" and \"" + customer + "\" have the same key");
+}
+
 std::string member(const std::string& entry, const char* name) {
   return json::parse(entry).at(name).get<std::string>();
 }
@@ -22,8 +35,7 @@
   for (const auto& [customer, text] : plans.entries) {
     const auto [owner, fresh] = owners.emplace(member(text, "key_hash"), customer);
     if (!fresh) {
-      return invalid("customers \"" + owner->second + "\" and \"" + customer +
-                     "\" have the same key");
+      return doubled_key(owner->second, customer);
     }
   }
   return {};
@@ -56,7 +68,7 @@
     const std::string plan = member(text, "plan");
     const bool concerned = touched.contains(changed.kind == list_kind::plans ? customer : plan);
     if (concerned && !known.contains(plan)) {
-      return invalid("plan \"" + plan + "\" of customer \"" + customer + "\" has no allowance");
+      return dangling(plan, customer);
     }
   }
   return {};
@@ -73,8 +85,7 @@
     }
     const std::string service = member(change.after, "service");
     if (!services.contains(service)) {
-      return invalid("service \"" + service + "\" of allowance \"" + change.entry +
-                     "\" has no upstream in the host list");
+      return unknown_service(service, change.entry);
     }
   }
   return {};
