Take the linter's findings in history and edit messages

Cause: clang-tidy asks for range loops, and clang 14 rejects libstdc++'s reverse view; copies of the bounded history are used instead.

--- a/src/catkintack/cli/list_edit.cpp
+++ b/src/catkintack/cli/list_edit.cpp
@@ -53,6 +53,18 @@
   return text;
 }
 
+leaf::error_id store_is_behind(const config::list_document& document,
+                               const base::host_id& host,
+                               const config::list_stamp& in_force) {
+  const std::string list = to_string(document.kind);
+  return leaf::new_error(config::config_error{
+      config::config_error_kind::invalid_entry,
+      "the store holds " + list + " version " + std::to_string(document.stamp.version.value()) +
+          " (edit " + config::to_string(document.stamp.edit) + "), but version " +
+          std::to_string(in_force.version.value()) + " (edit " + config::to_string(in_force.edit) +
+          ") is in force on " + host.value() + "; run `catkintack " + list + " recover` first"});
+}
+
 void show_result(const command_line& line,
                  const environment& around,
                  const nlohmann::json& document,
@@ -64,20 +76,13 @@
 
 leaf::result<void> check_store_is_newest(const config::list_document& document,
                                          const environment& around) {
-  const std::string list = to_string(document.kind);
   for (const host_report& report : around.reports()) {
     const config::list_stamp& in_force = report.in_force.at(config::index_of(document.kind));
     const bool newer = in_force.version > document.stamp.version;
     const bool diverged =
         in_force.version == document.stamp.version && in_force.edit != document.stamp.edit;
     if (report.reachable && (newer || diverged)) {
-      return leaf::new_error(config::config_error{
-          config::config_error_kind::invalid_entry,
-          "the store holds " + list + " version " + std::to_string(document.stamp.version.value()) +
-              " (edit " + config::to_string(document.stamp.edit) + "), but version " +
-              std::to_string(in_force.version.value()) + " (edit " +
-              config::to_string(in_force.edit) + ") is in force on " + report.host.value() +
-              "; run `catkintack " + list + " recover` first"});
+      return store_is_behind(document, report.host, in_force);
     }
   }
   return {};
--- a/src/catkintack/config/list_document.cpp
+++ b/src/catkintack/config/list_document.cpp
@@ -1,7 +1,6 @@
 #include "catkintack/config/list_document.hpp"
 
 #include <nlohmann/json.hpp>
-#include <ranges>
 #include <utility>
 
 #include "catkintack/config/list_codec.hpp"
@@ -55,7 +54,8 @@
 json history_of(const list_document& document) {
   std::vector<json> newest_first;
   std::size_t bytes = 0;
-  for (const edit_record& record : std::views::reverse(document.history)) {
+  const std::vector<edit_record> records(document.history.rbegin(), document.history.rend());
+  for (const edit_record& record : records) {
     json value = to_json_value(record);
     bytes += value.dump().size();
     if (newest_first.size() == max_history_edits || bytes > max_history_bytes) {
--- a/src/catkintack/config/list_history.cpp
+++ b/src/catkintack/config/list_history.cpp
@@ -4,7 +4,6 @@
 #include <array>
 #include <cinttypes>
 #include <cstdio>
-#include <ranges>
 
 namespace catkintack::config {
 namespace {
@@ -25,14 +24,12 @@
 }
 
 const edit_record* last_edit_of(const list_document& document, const std::string& entry) {
-  for (const edit_record& record : std::views::reverse(document.history)) {
-    for (const entry_change& change : record.changes) {
-      if (change.entry == entry) {
-        return &record;
-      }
-    }
-  }
-  return nullptr;
+  const auto touches = [&entry](const edit_record& record) {
+    return std::any_of(record.changes.begin(), record.changes.end(),
+                       [&entry](const entry_change& change) { return change.entry == entry; });
+  };
+  const auto found = std::find_if(document.history.rbegin(), document.history.rend(), touches);
+  return found == document.history.rend() ? nullptr : &*found;
 }
 
 leaf::error_id conflict(const list_document& document,
@@ -61,7 +58,8 @@
 leaf::result<entry_map> entries_at(const list_document& document, base::list_version version) {
   entry_map entries = document.entries;
   base::list_version reached = document.stamp.version;
-  for (const edit_record& record : std::views::reverse(document.history)) {
+  const std::vector<edit_record> records(document.history.rbegin(), document.history.rend());
+  for (const edit_record& record : records) {
     if (reached <= version || record.version != reached) {
       break;
     }
