--- a/src/catkintack/config/list_document.cpp
+++ b/src/catkintack/config/list_document.cpp
@@ -54,8 +54,9 @@
 json history_of(const list_document& document) {
   std::vector<json> newest_first;
   std::size_t bytes = 0;
-  for (auto record = document.history.rbegin(); record != document.history.rend(); ++record) {
-    json value = to_json_value(*record);
+  const std::vector<edit_record> records(document.history.rbegin(), document.history.rend());
+  for (const edit_record& record : records) {
+    json value = to_json_value(record);
     bytes += value.dump().size();
     if (newest_first.size() == max_history_edits || bytes > max_history_bytes) {
       break;
