Count calls waiting on this host as a sign that a service is short

Ruled out: learning only from refusals; a queue of 200 fills before the first.

Change: an attempt that ends while calls of its service wait here counts as short.

--- a/src/catkintack/gateway/gateway_attempts.cpp
+++ b/src/catkintack/gateway/gateway_attempts.cpp
@@ -139,7 +139,7 @@
   state.in_flight.erase(ended);
   state.shed = state.shed || event.shed;
   state.last_result = event.result;
-  const bool queued = event.load && event.load->queued > 0;
+  const bool queued = !queues_[state.service].empty() || (event.load && event.load->queued > 0);
   limiter_.on_load(state.service, queued || event.result == attempt_result::refused);
   if (event.result == attempt_result::answered) {
     retry_budget_.on_answer(state.service, observation.elapsed);
