Parse upstreams' answers with Boost.Beast; keep actions in the order of decisions

Change: Beast's response parser on our deadline-bound socket; actions posted under the lock, the final answer first, attempts never taken reported as not sent; control_loop::start(); deadlines bounded by stop_limit; a bound of 1024 successors; unchanged host lists are not parsed; 50 ms ticks while no call is open.

--- a/include/catkintack/daemon/call_mailbox.hpp
+++ b/include/catkintack/daemon/call_mailbox.hpp
@@ -5,6 +5,7 @@
 #include <condition_variable>
 #include <deque>
 #include <mutex>
+#include <vector>
 
 #include "catkintack/gateway/gateway_action.hpp"
 
@@ -22,12 +23,16 @@
   /// @brief Tells that the serving thread's attempt is over; call before reporting its end.
   void attempt_ended();
 
-  /// @brief Waits for the next action.
+  /// @brief Waits for the next action; the final answer goes before any other.
   /// @return The action.
   gateway::gateway_action take();
 
+  /// @brief The attempts that were posted and never taken, once the final answer was taken.
+  /// @return The attempts; their ends must be reported as not sent.
+  std::vector<gateway::send_attempt> untaken() const;
+
  private:
-  std::mutex mutex_;
+  mutable std::mutex mutex_;
   std::condition_variable changed_;
   std::deque<gateway::gateway_action> actions_;
   bool attempting_ = false;
--- a/include/catkintack/daemon/call_worker.hpp
+++ b/include/catkintack/daemon/call_worker.hpp
@@ -71,6 +71,7 @@
                const gateway::call_arrived& event,
                const net::upstream_request& request);
   void attempt_elsewhere(const gateway::send_attempt& action);
+  void report_not_sent(const gateway::send_attempt& action);
   void remember(base::call_id call, shared_request request);
   void forget(base::call_id call);
   shared_request find(base::call_id call);
--- a/include/catkintack/daemon/control_loop.hpp
+++ b/include/catkintack/daemon/control_loop.hpp
@@ -75,6 +75,8 @@
   /// @brief Announces that this host is leaving.
   void leave();
 
+  /// @brief Starts the thread; call when all that the options' hooks use is set up.
+  void start();
   /// @brief Ends the thread; what is posted later is not done.
   void stop();
 
--- a/include/catkintack/daemon/core_runner.hpp
+++ b/include/catkintack/daemon/core_runner.hpp
@@ -27,6 +27,9 @@
 };
 
 /// @brief The decision core behind a lock that is held for one decision, never across a call.
+///
+/// A decision's actions are posted under the same lock, so that each call sees them in the order
+/// in which they were decided.
 class core_runner {
  public:
   core_runner(std::unique_ptr<gateway::gateway> core, core_runner_hooks hooks);
@@ -58,11 +61,11 @@
   delivery::hand_over_part table(const delivery::home& self) const;
 
  private:
-  using delivery_list =
-      std::vector<std::pair<std::shared_ptr<call_mailbox>, gateway::gateway_action>>;
+  using demand_list = std::vector<gateway::publish_demand>;
 
-  delivery_list decide(const gateway::gateway_event& event);
-  void deliver(const delivery_list& deliveries);
+  demand_list decide(const gateway::gateway_event& event);
+  void deliver(const gateway::gateway_action& action);
+  void publish(const demand_list& demands) const;
 
   std::unique_ptr<gateway::gateway> core_;
   core_runner_hooks hooks_;
--- a/include/catkintack/daemon/platform_poller.hpp
+++ b/include/catkintack/daemon/platform_poller.hpp
@@ -5,6 +5,7 @@
 #include <condition_variable>
 #include <functional>
 #include <mutex>
+#include <string>
 #include <thread>
 
 #include "catkintack/base/address.hpp"
@@ -13,7 +14,8 @@
 
 namespace catkintack::daemon {
 
-/// @brief Takes what was read; called from the polling thread.
+/// @brief Takes what was read when it differs from the reading before; called from the polling
+/// thread.
 struct platform_hooks {
   std::function<void(net::host_list)> on_hosts;
 };
@@ -34,6 +36,7 @@
 
   base::address host_list_;
   platform_hooks hooks_;
+  std::string last_text_;  ///< Of the last valid reading.
   std::mutex mutex_;
   std::condition_variable stopped_;
   bool stopping_ = false;
--- a/include/catkintack/daemon/traffic_server.hpp
+++ b/include/catkintack/daemon/traffic_server.hpp
@@ -39,6 +39,8 @@
   void add_routes(httplib::Server& server);
   std::string token() const;
   bool requires_id(const base::service_id& service) const;
+  /// A call that outlives the longest planned stop would be cut by one.
+  std::optional<base::duration> bounded_time_left(std::optional<base::duration> asked) const;
 
   settings settings_;
   delivery::home self_;
--- a/include/catkintack/gateway/gateway.hpp
+++ b/include/catkintack/gateway/gateway.hpp
@@ -40,6 +40,7 @@
   base::duration default_time_left = std::chrono::seconds(5);  ///< For callers without deadline.
   std::uint32_t max_attempts = 3;                              ///< Per call, at least 1.
   std::optional<delivery::home> self;      ///< Without it every id is this core's own.
+  std::size_t max_successors = 1'024;      ///< The oldest go first; their ids are then unknown.
   std::size_t max_handed_over_tables = 8;  ///< The oldest go first; their ids are then unknown.
   limits::limiter_options limiter;
   limits::retry_budget_options retries;
@@ -161,6 +162,7 @@
   std::map<delivery::home, delivery::handed_over_table> handed_over_;
   std::vector<delivery::home> handed_over_order_;
   std::map<delivery::home, base::host_id> successors_;
+  std::deque<delivery::home> successors_order_;
   std::unordered_map<base::call_id, waiting_call> waiting_;  ///< Repeats of running requests.
   std::unordered_map<base::call_id, base::request_id> forwarded_;
 };
--- a/include/catkintack/net/host_list.hpp
+++ b/include/catkintack/net/host_list.hpp
@@ -25,6 +25,13 @@
 /// @return The list, or a net_error naming the fault.
 boost::leaf::result<host_list> parse_host_list(const std::string& text);
 
+/// @brief Fetches the host list's text.
+/// @param where The host list's address.
+/// @param timeout The longest wait.
+/// @return The JSON text, or a net_error.
+boost::leaf::result<std::string> fetch_host_list_text(const base::address& where,
+                                                      base::duration timeout);
+
 /// @brief Fetches the host list.
 /// @param where The host list's address.
 /// @param timeout The longest wait.
--- a/include/catkintack/net/http_connection.hpp
+++ b/include/catkintack/net/http_connection.hpp
@@ -49,8 +49,9 @@
 
 /// @brief A connection to an upstream. One thread at a time, but for interrupt().
 ///
-/// The HTTP library's own client takes a chunked body cut within a chunk's end for a whole one,
-/// drops bytes that follow a response, and has limits for each read but none for an exchange.
+/// cpp-httplib's client takes a chunked body cut within a chunk's end for a whole one, drops bytes
+/// that follow a response, and has limits for each read but none for an exchange. So responses are
+/// parsed by Boost.Beast, over a socket that is read under one deadline.
 class http_connection {
  public:
   /// @brief Connects.
@@ -83,16 +84,10 @@
   http_end send(const std::string& bytes, const http_limits& limits);
   http_end wait(short events, const http_limits& limits) const;
   http_end read_more(const http_limits& limits);
-  http_end read_line(std::string& line, const http_limits& limits);
-  http_end read_exactly(std::uint64_t size, std::string& into, const http_limits& limits);
-  http_end read_head(http_response& response, const http_limits& limits);
-  http_end read_headers(http_headers& headers, const http_limits& limits);
-  http_end read_body(bool has_body, http_response& response, const http_limits& limits);
-  http_end read_chunks(http_response& response, const http_limits& limits);
+  http_end read_response(bool has_body, const http_limits& limits, http_response& response);
 
   socket_handle socket_;
   std::string buffer_;  // Received and not yet consumed.
-  bool version_1_1_ = false;
 };
 
 }  // namespace catkintack::net
--- a/src/catkintack/daemon/call_mailbox.cpp
+++ b/src/catkintack/daemon/call_mailbox.cpp
@@ -1,5 +1,6 @@
 #include "catkintack/daemon/call_mailbox.hpp"
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -27,9 +28,26 @@
 gateway::gateway_action call_mailbox::take() {
   std::unique_lock lock(mutex_);
   changed_.wait(lock, [this] { return !actions_.empty(); });
-  gateway::gateway_action next = std::move(actions_.front());
-  actions_.pop_front();
-  return next;
+  auto next = std::find_if(actions_.begin(), actions_.end(), [](const auto& action) {
+    return std::holds_alternative<gateway::finish_call>(action);
+  });
+  if (next == actions_.end()) {
+    next = actions_.begin();
+  }
+  gateway::gateway_action taken = std::move(*next);
+  actions_.erase(next);
+  return taken;
+}
+
+std::vector<gateway::send_attempt> call_mailbox::untaken() const {
+  const std::lock_guard lock(mutex_);
+  std::vector<gateway::send_attempt> attempts;
+  for (const gateway::gateway_action& action : actions_) {
+    if (const auto* const attempt = std::get_if<gateway::send_attempt>(&action)) {
+      attempts.push_back(*attempt);
+    }
+  }
+  return attempts;
 }
 
 }  // namespace catkintack::daemon
--- a/src/catkintack/daemon/call_worker.cpp
+++ b/src/catkintack/daemon/call_worker.cpp
@@ -35,6 +35,9 @@
     if (const auto* const finished = std::get_if<gateway::finish_call>(&action)) {
       forget(call);
       runner_.end(call);
+      for (const gateway::send_attempt& attempt : mailbox->untaken()) {
+        report_not_sent(attempt);
+      }
       return finished->end;
     }
     if (const auto* const forwarded = std::get_if<gateway::forward_call>(&action)) {
@@ -71,17 +74,21 @@
   pool_.submit([this, action] {
     const shared_request request = find(action.call);
     if (!request) {
-      gateway::attempt_ended end;
-      end.call = action.call;
-      end.attempt = action.attempt;
-      end.result = routing::attempt_result::not_sent;
-      runner_.submit(end);
+      report_not_sent(action);
       return;
     }
     runner_.submit(attempt(action, *request));
   });
 }
 
+void call_worker::report_not_sent(const gateway::send_attempt& action) {
+  gateway::attempt_ended end;
+  end.call = action.call;
+  end.attempt = action.attempt;
+  end.result = routing::attempt_result::not_sent;
+  runner_.submit(end);
+}
+
 void call_worker::remember(base::call_id call, shared_request request) {
   const std::lock_guard lock(mutex_);
   requests_.emplace(call, std::move(request));
--- a/src/catkintack/daemon/control_loop.cpp
+++ b/src/catkintack/daemon/control_loop.cpp
@@ -9,7 +9,8 @@
 namespace catkintack::daemon {
 namespace {
 
-constexpr base::duration tick_interval = std::chrono::milliseconds(5);
+constexpr base::duration busy_tick_interval = std::chrono::milliseconds(5);
+constexpr base::duration idle_tick_interval = std::chrono::milliseconds(50);
 constexpr base::duration heartbeat_interval = std::chrono::milliseconds(500);
 constexpr base::duration list_interval = std::chrono::milliseconds(50);
 constexpr std::size_t datagram_overhead = 60;  // Digest, UDP and IP headers, in bytes.
@@ -41,11 +42,14 @@
       metrics_(metrics),
       clock_(std::move(clock)),
       peers_(fleet_options_of(options_)),
-      list_sync_(list_options_of(options_), base::seeded_random_hook(base::entropy_seed())),
-      thread_([this] { run(); }) {}
+      list_sync_(list_options_of(options_), base::seeded_random_hook(base::entropy_seed())) {}
 
 control_loop::~control_loop() { stop(); }
 
+void control_loop::start() {
+  thread_ = std::thread([this] { run(); });
+}
+
 void control_loop::stop() {
   if (thread_.joinable()) {
     post([this] { stopping_ = true; });
@@ -72,7 +76,9 @@
     std::deque<task> due;
     {
       std::unique_lock lock(mutex_);
-      changed_.wait_for(lock, tick_interval, [this] { return !tasks_.empty(); });
+      const bool busy = worker_.open_calls() > 0;
+      changed_.wait_for(lock, busy ? busy_tick_interval : idle_tick_interval,
+                        [this] { return !tasks_.empty(); });
       due.swap(tasks_);
     }
     for (const task& work : due) {
--- a/src/catkintack/daemon/core_runner.cpp
+++ b/src/catkintack/daemon/core_runner.cpp
@@ -27,15 +27,15 @@
 std::pair<base::call_id, std::shared_ptr<call_mailbox>> core_runner::begin(
     gateway::call_arrived event) {
   auto mailbox = std::make_shared<call_mailbox>();
-  delivery_list deliveries;
+  demand_list demands;
   {
     const std::lock_guard lock(mutex_);
     last_call_ = last_call_.next();
     event.call = last_call_;
     mailboxes_.emplace(event.call, mailbox);
-    deliveries = decide(event);
+    demands = decide(event);
   }
-  deliver(deliveries);
+  publish(demands);
   return {event.call, std::move(mailbox)};
 }
 
@@ -45,12 +45,12 @@
 }
 
 void core_runner::submit(const gateway::gateway_event& event) {
-  delivery_list deliveries;
+  demand_list demands;
   {
     const std::lock_guard lock(mutex_);
-    deliveries = decide(event);
+    demands = decide(event);
   }
-  deliver(deliveries);
+  publish(demands);
 }
 
 std::size_t core_runner::open_calls() const {
@@ -64,31 +64,34 @@
   return {self, registry.oldest_epoch(), false, registry.entries()};
 }
 
-core_runner::delivery_list core_runner::decide(const gateway::gateway_event& event) {
-  delivery_list deliveries;
-  for (gateway::gateway_action& action : core_->handle(hooks_.clock(), event)) {
-    if (std::holds_alternative<gateway::publish_demand>(action)) {
-      deliveries.emplace_back(nullptr, std::move(action));
-      continue;
-    }
-    const auto found = mailboxes_.find(call_of(action));
-    if (found != mailboxes_.end()) {
-      deliveries.emplace_back(found->second, std::move(action));
+core_runner::demand_list core_runner::decide(const gateway::gateway_event& event) {
+  demand_list demands;
+  for (const gateway::gateway_action& action : core_->handle(hooks_.clock(), event)) {
+    if (const auto* const demand = std::get_if<gateway::publish_demand>(&action)) {
+      demands.push_back(*demand);
+    } else {
+      deliver(action);
     }
   }
   newest_epoch_ = core_->registry().newest_epoch();
-  return deliveries;
+  return demands;
 }
 
-void core_runner::deliver(const delivery_list& deliveries) {
-  for (const auto& [mailbox, action] : deliveries) {
-    if (const auto* const demand = std::get_if<gateway::publish_demand>(&action)) {
-      hooks_.publish_demand(*demand);
-    } else if (const auto* const cancelled = std::get_if<gateway::cancel_attempt>(&action)) {
-      hooks_.cancel(*cancelled);
-    } else if (!mailbox->post(action)) {
-      hooks_.run_elsewhere(std::get<gateway::send_attempt>(action));
-    }
+void core_runner::deliver(const gateway::gateway_action& action) {
+  const auto found = mailboxes_.find(call_of(action));
+  if (found == mailboxes_.end()) {
+    return;
+  }
+  if (const auto* const cancelled = std::get_if<gateway::cancel_attempt>(&action)) {
+    hooks_.cancel(*cancelled);
+  } else if (!found->second->post(action)) {
+    hooks_.run_elsewhere(std::get<gateway::send_attempt>(action));
+  }
+}
+
+void core_runner::publish(const demand_list& demands) const {
+  for (const gateway::publish_demand& demand : demands) {
+    hooks_.publish_demand(demand);
   }
 }
 
--- a/src/catkintack/daemon/daemon.cpp
+++ b/src/catkintack/daemon/daemon.cpp
@@ -91,6 +91,7 @@
         daemon_error{"cannot bind UDP address " + base::to_string(settings_.peers)});
   }
   datagrams_ = std::move(datagrams.value());
+  control_->start();
   platform_hooks hooks;
   hooks.on_hosts = [this](net::host_list hosts) {
     directory_.update(hosts.gateways);
@@ -176,7 +177,7 @@
   log(log_level::info, "daemon", "leaving.");
   control_->leave();
   traffic_->set_leaving();
-  const base::instant limit = clock_() + settings_.stop_limit;
+  const base::instant limit = clock_() + announce_time + settings_.stop_limit;
   finish_calls(limit);
   const std::size_t open = worker_->open_calls();
   if (open > 0) {
--- a/src/catkintack/daemon/platform_poller.cpp
+++ b/src/catkintack/daemon/platform_poller.cpp
@@ -39,7 +39,12 @@
 void platform_poller::read_hosts() {
   leaf::try_handle_all(
       [this]() -> leaf::result<void> {
-        BOOST_LEAF_AUTO(hosts, net::fetch_host_list(host_list_, host_list_timeout));
+        BOOST_LEAF_AUTO(text, net::fetch_host_list_text(host_list_, host_list_timeout));
+        if (text == last_text_) {
+          return {};
+        }
+        BOOST_LEAF_AUTO(hosts, net::parse_host_list(text));
+        last_text_ = std::move(text);
         hooks_.on_hosts(std::move(hosts));
         return {};
       },
--- a/src/catkintack/daemon/traffic_server.cpp
+++ b/src/catkintack/daemon/traffic_server.cpp
@@ -220,6 +220,11 @@
   return configured == settings_.services.end() || configured->second.require_request_id;
 }
 
+std::optional<base::duration> traffic_server::bounded_time_left(
+    std::optional<base::duration> asked) const {
+  return asked ? std::min(*asked, settings_.stop_limit) : asked;
+}
+
 void traffic_server::add_routes(httplib::Server& server) {
   const auto serve = [this](const httplib::Request& request, httplib::Response& response) {
     response.set_header(headers::token, token());
@@ -241,6 +246,7 @@
     const auto configured = settings_.services.find(where.service);
     event.request = base::request_id(id);
     event.fingerprint = fingerprint_of(request);
+    event.time_left = bounded_time_left(event.time_left);
     event.key_hash = key.empty() ? "" : config::hash_key(key);
     event.service = where.service;
     event.idempotent = is_safe_method(request.method) ||
--- a/src/catkintack/gateway/gateway_delivery.cpp
+++ b/src/catkintack/gateway/gateway_delivery.cpp
@@ -168,7 +168,13 @@
 }
 
 void gateway::on(base::instant /*now*/, const successor_named& event) {
-  successors_[event.leaver] = event.successor;
+  if (successors_.insert_or_assign(event.leaver, event.successor).second) {
+    successors_order_.push_back(event.leaver);
+  }
+  if (successors_order_.size() > options_.max_successors) {
+    successors_.erase(successors_order_.front());
+    successors_order_.pop_front();
+  }
   recorder_("delivery", "successor_named", {},
             {{"leaver", to_string(event.leaver)}, {"successor", event.successor.value()}});
 }
--- a/src/catkintack/net/host_list.cpp
+++ b/src/catkintack/net/host_list.cpp
@@ -88,7 +88,7 @@
   return list;
 }
 
-leaf::result<host_list> fetch_host_list(const base::address& where, base::duration timeout) {
+leaf::result<std::string> fetch_host_list_text(const base::address& where, base::duration timeout) {
   httplib::Client client(where.ip, where.port);
   client.set_tcp_nodelay(true);
   const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(timeout);
@@ -100,7 +100,12 @@
         net_error{net_error_kind::unreachable,
                   "the host list at " + base::to_string(where) + " gave no answer"});
   }
-  return parse_host_list(answer->body);
+  return answer->body;
+}
+
+leaf::result<host_list> fetch_host_list(const base::address& where, base::duration timeout) {
+  BOOST_LEAF_AUTO(text, fetch_host_list_text(where, timeout));
+  return parse_host_list(text);
 }
 
 }  // namespace catkintack::net
--- a/src/catkintack/net/http_connection.cpp
+++ b/src/catkintack/net/http_connection.cpp
@@ -7,22 +7,23 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <cctype>
 #include <cerrno>
-#include <charconv>
 
 #include "catkintack/net/socket_address.hpp"
 
 namespace catkintack::net {
 namespace {
 
-constexpr std::size_t max_line_bytes = 16U << 10U;
-constexpr std::size_t max_headers = 256;
+namespace http = boost::beast::http;
+
+constexpr std::uint32_t max_head_bytes = 64U << 10U;
 constexpr std::size_t read_bytes = 64U << 10U;
 constexpr int status_switching_protocols = 101;
 constexpr int first_final_status = 200;
-constexpr int status_no_content = 204;
-constexpr int status_not_modified = 304;
 
 bool equals_ignoring_case(const std::string& left, const std::string& right) {
   return std::equal(
@@ -30,29 +31,12 @@
       [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
 }
 
-std::size_t count_headers(const http_headers& headers, const std::string& name) {
-  return static_cast<std::size_t>(std::count_if(
-      headers.begin(), headers.end(),
-      [&name](const auto& header) { return equals_ignoring_case(header.first, name); }));
-}
-
-/// Reads a number that fills the whole text.
-std::optional<std::uint64_t> parse_number(const std::string& text, int base) {
-  std::uint64_t value = 0;
-  const char* const end = text.data() + text.size();
-  const auto [rest, error] = std::from_chars(text.data(), end, value, base);
-  if (error != std::errc{} || rest != end) {
-    return std::nullopt;
-  }
-  return value;
-}
-
-std::string trimmed(const std::string& text) {
-  const auto first = text.find_first_not_of(" \t");
-  if (first == std::string::npos) {
-    return {};
+void take(http::response<http::string_body> message, http_response& response) {
+  response.status = static_cast<int>(message.result_int());
+  for (const auto& field : message) {
+    response.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
   }
-  return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+  response.body = std::move(message.body());
 }
 
 int wait_for(int descriptor, short events, base::duration left) {
@@ -111,15 +95,13 @@
   }
   do {
     response = {};
-    end = read_head(response, limits);
+    end = read_response(has_body, limits, response);
     if (end != http_end::whole || response.status == status_switching_protocols) {
       return end == http_end::whole ? http_end::broken : end;
     }
   } while (response.status < first_final_status);
-  end = read_body(has_body, response, limits);
-  const std::string connection = find_header(response.headers, "Connection").value_or("");
-  response.reusable = version_1_1_ && !equals_ignoring_case(connection, "close") && is_idle();
-  return end;
+  response.reusable = response.reusable && is_idle();
+  return http_end::whole;
 }
 
 http_end http_connection::send(const std::string& bytes, const http_limits& limits) {
@@ -165,127 +147,32 @@
   return count > 0 || again ? http_end::whole : http_end::broken;
 }
 
-http_end http_connection::read_line(std::string& line, const http_limits& limits) {
-  while (true) {
-    const auto end = buffer_.find("\r\n");
-    if (end != std::string::npos) {
-      line = buffer_.substr(0, end);
-      buffer_.erase(0, end + 2);
-      return http_end::whole;
-    }
-    if (buffer_.size() > max_line_bytes) {
+http_end http_connection::read_response(bool has_body,
+                                        const http_limits& limits,
+                                        http_response& response) {
+  http::response_parser<http::string_body> parser;
+  parser.header_limit(max_head_bytes);
+  parser.body_limit(limits.max_body_bytes);
+  parser.skip(!has_body);
+  parser.eager(true);
+  while (!parser.is_done()) {
+    boost::system::error_code error;
+    const std::size_t used = buffer_.empty() ? 0 : parser.put(boost::asio::buffer(buffer_), error);
+    buffer_.erase(0, used);
+    // Without a marked length the end of the connection would pass for the end of the answer.
+    if ((error && error != http::error::need_more) || parser.need_eof()) {
       return http_end::broken;
     }
-    const http_end more = read_more(limits);
-    if (more != http_end::whole) {
-      return more;
-    }
-  }
-}
-
-http_end http_connection::read_exactly(std::uint64_t size,
-                                       std::string& into,
-                                       const http_limits& limits) {
-  if (size > limits.max_body_bytes || into.size() + size > limits.max_body_bytes) {
-    return http_end::broken;
-  }
-  while (size > 0) {
-    const std::size_t taken = std::min<std::uint64_t>(size, buffer_.size());
-    into.append(buffer_, 0, taken);
-    buffer_.erase(0, taken);
-    size -= taken;
-    const http_end more = size > 0 ? read_more(limits) : http_end::whole;
-    if (more != http_end::whole) {
-      return more;
+    if (!parser.is_done() && (error || used == 0)) {
+      const http_end more = read_more(limits);
+      if (more != http_end::whole) {
+        return more;
+      }
     }
   }
+  response.reusable = parser.keep_alive();
+  take(parser.release(), response);
   return http_end::whole;
 }
 
-http_end http_connection::read_head(http_response& response, const http_limits& limits) {
-  std::string line;
-  const http_end end = read_line(line, limits);
-  if (end != http_end::whole) {
-    return end;
-  }
-  constexpr std::size_t version_length = 9;  // "HTTP/1.1 "
-  constexpr std::size_t status_length = 3;
-  const std::string version = line.substr(0, std::min(version_length, line.size()));
-  version_1_1_ = version == "HTTP/1.1 ";
-  if (!version_1_1_ && version != "HTTP/1.0 ") {
-    return http_end::broken;
-  }
-  const std::string rest = line.substr(version_length);
-  const auto status = parse_number(rest.substr(0, status_length), 10);
-  if (!status || *status < 100 || (rest.size() > status_length && rest[status_length] != ' ')) {
-    return http_end::broken;
-  }
-  response.status = static_cast<int>(*status);
-  return read_headers(response.headers, limits);
-}
-
-http_end http_connection::read_headers(http_headers& headers, const http_limits& limits) {
-  std::string line;
-  for (std::size_t count = 0; count <= max_headers; ++count) {
-    const http_end end = read_line(line, limits);
-    if (end != http_end::whole || line.empty()) {
-      return end;
-    }
-    const auto colon = line.find(':');
-    const std::string name = line.substr(0, colon);
-    if (colon == std::string::npos || name.empty() ||
-        name.find_first_of(" \t") != std::string::npos) {
-      return http_end::broken;
-    }
-    headers.emplace_back(name, trimmed(line.substr(colon + 1)));
-  }
-  return http_end::broken;
-}
-
-http_end http_connection::read_body(bool has_body,
-                                    http_response& response,
-                                    const http_limits& limits) {
-  if (!has_body || response.status == status_no_content || response.status == status_not_modified) {
-    return http_end::whole;
-  }
-  const std::size_t lengths = count_headers(response.headers, "Content-Length");
-  const std::size_t encodings = count_headers(response.headers, "Transfer-Encoding");
-  if (lengths + encodings != 1) {
-    return http_end::broken;
-  }
-  if (encodings == 1) {
-    return equals_ignoring_case(*find_header(response.headers, "Transfer-Encoding"), "chunked")
-               ? read_chunks(response, limits)
-               : http_end::broken;
-  }
-  const auto length = parse_number(*find_header(response.headers, "Content-Length"), 10);
-  return length ? read_exactly(*length, response.body, limits) : http_end::broken;
-}
-
-http_end http_connection::read_chunks(http_response& response, const http_limits& limits) {
-  constexpr int hexadecimal = 16;
-  while (true) {
-    std::string line;
-    http_end end = read_line(line, limits);
-    if (end != http_end::whole) {
-      return end;
-    }
-    const auto size = parse_number(trimmed(line.substr(0, line.find(';'))), hexadecimal);
-    if (!size) {
-      return http_end::broken;
-    }
-    if (*size == 0) {
-      http_headers trailers;
-      return read_headers(trailers, limits);
-    }
-    end = read_exactly(*size, response.body, limits);
-    if (end == http_end::whole) {
-      end = read_line(line, limits);
-    }
-    if (end != http_end::whole || !line.empty()) {
-      return end == http_end::whole ? http_end::broken : end;
-    }
-  }
-}
-
 }  // namespace catkintack::net
