Retire connections that may have gone silent for good

Ruled out: a probe on idle connections (costs the upstream, and says nothing of the moment after); closing the waiting exchange itself (a non-idempotent request may be running). Change: send_attempt carries a silence limit, four times the service's followed latency quantile and 20 ms at least. When a connection that was used before gives no byte within it, all connections to that upstream opened so far take no further exchange. The waiting exchange goes on; idempotent calls have their hedge by then.

--- a/include/catkintack/gateway/gateway_action.hpp
+++ b/include/catkintack/gateway/gateway_action.hpp
@@ -21,6 +21,7 @@
   base::instant deadline{};        ///< Give up then; never send later than this.
   std::uint32_t depth = 0;         ///< Gateways that the call crossed, this one included.
   std::uint32_t retries_left = 0;  ///< Extra attempts that the levels below may make.
+  base::duration silence{};        ///< An old connection without a byte for so long may be dead.
 };
 
 /// @brief Cancel an attempt in flight; its end is still reported.
--- a/include/catkintack/net/http_connection.hpp
+++ b/include/catkintack/net/http_connection.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -45,6 +46,8 @@
   base::clock_hook clock;
   base::instant deadline{};
   std::uint64_t max_body_bytes = 64U << 20U;
+  std::optional<base::instant> silent_at;  ///< When to tell that no byte of the response came.
+  std::function<void()> on_silence;        ///< Called at most once; the exchange goes on.
 };
 
 /// @brief A connection to an upstream. One thread at a time, but for interrupt().
@@ -82,12 +85,13 @@
   explicit http_connection(socket_handle socket);
 
   http_end send(const std::string& bytes, const http_limits& limits);
-  http_end wait(short events, const http_limits& limits) const;
+  http_end wait(short events, const http_limits& limits);
   http_end read_more(const http_limits& limits);
   http_end read_response(bool has_body, const http_limits& limits, http_response& response);
 
   socket_handle socket_;
   std::string buffer_;  // Received and not yet consumed.
+  bool heard_ = false;  // Whether a byte of the response came, or its silence was told.
 };
 
 }  // namespace catkintack::net
--- a/include/catkintack/net/upstream_client.hpp
+++ b/include/catkintack/net/upstream_client.hpp
@@ -48,6 +48,12 @@
   std::uint64_t max_answer_bytes = 64U << 20U;  ///< Of a body; a larger answer counts as broken.
 };
 
+/// @brief Bounds of one exchange.
+struct exchange_bounds {
+  base::instant deadline{};  ///< Nothing is sent, and nothing is waited for, past this.
+  base::duration silence = std::chrono::seconds(1);  ///< See exchange().
+};
+
 /// @brief Sends requests to upstreams. Safe for use by several threads.
 class upstream_client {
  public:
@@ -62,12 +68,14 @@
   /// @param key Names the exchange for cancel().
   /// @param where The upstream's address.
   /// @param request The request.
-  /// @param deadline Nothing is sent, and nothing is waited for, past this.
+  /// @param bounds Bounds of the exchange. When a connection that was used before gives no byte
+  /// within bounds.silence, it may have gone silent for good, and others of its age with it: all
+  /// connections to the upstream opened so far take no further exchange.
   /// @return How it ended. A connection whose exchange did not end whole is closed.
   exchange_result exchange(const exchange_key& key,
                            const base::address& where,
                            const upstream_request& request,
-                           base::instant deadline);
+                           const exchange_bounds& bounds);
 
   /// @brief Breaks an exchange in flight; does nothing when it has ended.
   /// @param key The exchange.
--- a/src/catkintack/cli/list_commands_test.cpp
+++ b/src/catkintack/cli/list_commands_test.cpp
@@ -40,13 +40,13 @@
  protected:
   list_session() {
     using ::testing::_;
-    ON_CALL(store, read(_)).WillByDefault([this](const std::string& key) {
-      return backing.read(key);
+    ON_CALL(store_, read(_)).WillByDefault([this](const std::string& key) {
+      return backing_.read(key);
     });
-    ON_CALL(store, compare_and_swap(_, _, _))
+    ON_CALL(store_, compare_and_swap(_, _, _))
         .WillByDefault(
             [this](const std::string& key, std::uint64_t revision, const std::string& value) {
-              return backing.compare_and_swap(key, revision, value);
+              return backing_.compare_and_swap(key, revision, value);
             });
   }
 
@@ -55,18 +55,18 @@
     line.words = words;
     line.operator_name = "ada";
     std::ostringstream out;
-    std::istringstream in(answer);
+    std::istringstream in(answer_);
     environment around;
-    around.store = &store;
-    around.reports = [this] { return reports; };
+    around.store = &store_;
+    around.reports = [this] { return reports_; };
     around.services = [] { return std::set<std::string>{"scan-service"}; };
     around.list_text = [this](const base::host_id&, config::list_kind) {
-      return std::optional<std::string>(host_text);
+      return std::optional<std::string>(host_text_);
     };
-    around.clock = [this] { return now; };
+    around.clock = [this] { return now_; };
     around.wall_clock = [] { return base::wall_time(std::chrono::seconds(1'000)); };
-    around.random = [this] { return ++last_edit; };
-    around.pause = [this](base::duration span) { now += span; };
+    around.random = [this] { return ++last_edit_; };
+    around.pause = [this](base::duration span) { now_ += span; };
     around.in = &in;
     around.out = &out;
     const auto kind =
@@ -94,13 +94,13 @@
     return run({"plans", "set", name, plan}, line);
   }
 
-  fake_store backing;
-  ::testing::NiceMock<mock_store> store;
-  std::vector<host_report> reports;
-  std::string host_text;
-  std::string answer;
-  base::instant now{};
-  std::uint64_t last_edit = 0;
+  fake_store backing_;
+  ::testing::NiceMock<mock_store> store_;
+  std::vector<host_report> reports_;
+  std::string host_text_;
+  std::string answer_;
+  base::instant now_{};
+  std::uint64_t last_edit_ = 0;
 };
 
 TEST_F(list_session, edits_shows_history_and_rolls_back) {
@@ -114,7 +114,7 @@
             "1  1000  0000000000000002  ada  set mercato\n"
             "2  1000  0000000000000003  ada  set porto\n"
             "3  1000  0000000000000004  ada  remove mercato\nexit 0");
-  answer = "y\n";
+  answer_ = "y\n";
   const std::string rolled_back = run({"plans", "rollback", "2"});
   EXPECT_NE(rolled_back.find("+ {\"customer\":\"mercato\""), std::string::npos);
   EXPECT_NE(rolled_back.find("plans version 4"), std::string::npos);
@@ -122,7 +122,7 @@
 }
 
 TEST_F(list_session, names_what_is_wrong_before_it_writes) {
-  EXPECT_CALL(store, compare_and_swap).Times(0);
+  EXPECT_CALL(store_, compare_and_swap).Times(0);
   EXPECT_EQ(set_customer("mercato", "gold"),
             "error: plan \"gold\" of customer \"mercato\" has no allowance");
   EXPECT_EQ(run({"plans", "set", "mercato", "gold"}),
@@ -138,17 +138,17 @@
 }
 
 TEST_F(list_session, names_the_hosts_that_it_waits_for) {
-  reports = {{base::host_id("gw-1"), true, {}}, {base::host_id("gw-2"), false, {}}};
+  reports_ = {{base::host_id("gw-1"), true, {}}, {base::host_id("gw-2"), false, {}}};
   EXPECT_EQ(set_allowance(),
             "allowances version 1 (edit 0000000000000001) is written; not yet in force on gw-1 "
             "(version 0), gw-2 (no answer)\nexit 5");
-  EXPECT_GE(now - base::instant{}, std::chrono::seconds(7));
+  EXPECT_GE(now_ - base::instant{}, std::chrono::seconds(7));
 }
 
 TEST_F(list_session, says_unknown_when_the_answer_and_the_store_are_lost) {
-  backing.write_faults = {store_fault::lost_applied};
-  backing.read_faults.assign(100, store_fault::unavailable);
-  backing.read_faults[0] = backing.read_faults[1] = backing.read_faults[2] = store_fault::none;
+  backing_.write_faults = {store_fault::lost_applied};
+  backing_.read_faults.assign(100, store_fault::unavailable);
+  backing_.read_faults[0] = backing_.read_faults[1] = backing_.read_faults[2] = store_fault::none;
   EXPECT_EQ(set_allowance(),
             "error: edit 0000000000000001 of allowances may or may not be applied: the store gave "
             "no answer; `catkintack allowances history` shows the edit when it was");
@@ -156,15 +156,15 @@
 
 TEST_F(list_session, does_not_edit_a_store_restored_old_and_recovers_it) {
   set_allowance();
-  const config::stored_value old = backing.values[config::allowances_key];
+  const config::stored_value old = backing_.values[config::allowances_key];
   command_line line;
   line.rate_per_second = 20;
   run({"allowances", "set", "gold", "scan-service"}, line);
-  host_text = backing.values[config::allowances_key].value;
+  host_text_ = backing_.values[config::allowances_key].value;
   host_report report{base::host_id("gw-1"), true, {}};
   report.in_force.at(1) = {base::list_version(2), base::edit_id(2)};
-  reports = {report};
-  backing.values[config::allowances_key] = old;
+  reports_ = {report};
+  backing_.values[config::allowances_key] = old;
   line.rate_per_second = 30;
   EXPECT_EQ(run({"allowances", "set", "gold", "scan-service"}, line),
             "error: the store holds allowances version 1 (edit 0000000000000001), but version 2 "
--- a/src/catkintack/daemon/call_worker.cpp
+++ b/src/catkintack/daemon/call_worker.cpp
@@ -55,8 +55,8 @@
   net::upstream_request sent = request;
   sent.headers.emplace_back(net::headers::depth, std::to_string(action.depth));
   sent.headers.emplace_back(net::headers::retries_left, std::to_string(action.retries_left));
-  const net::exchange_result end = upstreams_.exchange({action.call, action.attempt},
-                                                       action.target.where, sent, action.deadline);
+  const net::exchange_result end = upstreams_.exchange(
+      {action.call, action.attempt}, action.target.where, sent, {action.deadline, action.silence});
   return {action.call, action.attempt, end.result, end.answer, end.load, end.retry_after, end.shed};
 }
 
--- a/src/catkintack/gateway/gateway_attempts.cpp
+++ b/src/catkintack/gateway/gateway_attempts.cpp
@@ -14,6 +14,9 @@
 
 constexpr int status_bad_gateway = 502;
 constexpr int first_server_error_status = 500;
+constexpr int silence_factor = 4;  // Times the usual latency's quantile.
+constexpr base::duration least_silence = std::chrono::milliseconds(20);
+constexpr base::duration unknown_silence = std::chrono::seconds(1);
 
 limits::failure_kind failure_of(attempt_result result) {
   switch (result) {
@@ -81,9 +84,14 @@
   recorder_(
       "routing", "attempt_sent", state.request,
       {{"attempt", std::to_string(state.last_attempt.value())}, {"upstream", target.id.value()}});
-  actions_.emplace_back(send_attempt{id, state.last_attempt, target, state.deadline,
-                                     state.depth + 1,
-                                     limits::retry_budget::below(state.retries_left)});
+  actions_.emplace_back(
+      send_attempt{id, state.last_attempt, target, state.deadline, state.depth + 1,
+                   limits::retry_budget::below(state.retries_left), silence_limit(state.service)});
+}
+
+base::duration gateway::silence_limit(const base::service_id& service) const {
+  const auto usual = router_.latencies(service).quantile();
+  return usual ? std::max(*usual * silence_factor, least_silence) : unknown_silence;
 }
 
 void gateway::hedge_due(base::instant now) {
--- a/src/catkintack/net/http_connection.cpp
+++ b/src/catkintack/net/http_connection.cpp
@@ -89,6 +89,7 @@
                                    bool has_body,
                                    const http_limits& limits,
                                    http_response& response) {
+  heard_ = false;
   http_end end = send(request, limits);
   if (end != http_end::whole) {
     return end;
@@ -121,15 +122,24 @@
   return http_end::whole;
 }
 
-http_end http_connection::wait(short events, const http_limits& limits) const {
-  const base::duration left = limits.deadline - limits.clock();
-  if (left <= base::duration::zero()) {
+http_end http_connection::wait(short events, const http_limits& limits) {
+  const base::instant now = limits.clock();
+  if (now >= limits.deadline) {
     return http_end::timed_out;
   }
+  const bool listening = !heard_ && limits.silent_at && events == POLLIN;
+  const base::instant until =
+      listening ? std::min(*limits.silent_at, limits.deadline) : limits.deadline;
+  const base::duration left = std::max(until - now, base::duration::zero());
   const int ready = wait_for(socket_.descriptor(), events, left);
-  if (ready == 0) {
+  if (ready == 0 && until == limits.deadline) {
     return http_end::timed_out;
   }
+  if (ready == 0) {
+    heard_ = true;
+    limits.on_silence();
+    return wait(events, limits);
+  }
   return ready > 0 || errno == EINTR ? http_end::whole : http_end::broken;
 }
 
@@ -143,6 +153,7 @@
   const ssize_t count =
       ::recv(socket_.descriptor(), buffer_.data() + before, read_bytes, MSG_DONTWAIT);
   buffer_.resize(before + static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
+  heard_ = heard_ || count > 0;
   const bool again = count < 0 && (errno == EAGAIN || errno == EINTR);
   return count > 0 || again ? http_end::whole : http_end::broken;
 }
--- a/src/catkintack/net/upstream_client.cpp
+++ b/src/catkintack/net/upstream_client.cpp
@@ -92,6 +92,7 @@
   struct taken_connection {
     connection client;
     std::uint64_t generation = 0;
+    bool used_before = false;
   };
 
   struct exchange_in_flight {
@@ -110,13 +111,13 @@
       connection client = std::move(from.idle.back());
       from.idle.pop_back();
       if (client->is_idle()) {
-        return {std::move(client), from.generation};
+        return {std::move(client), from.generation, true};
       }
     }
     const std::uint64_t generation = from.generation;
     lock.unlock();
     const base::duration left = std::min(options.connect_timeout, deadline - clock());
-    return {http_connection::connect(where, left), generation};
+    return {http_connection::connect(where, left), generation, false};
   }
 
   void give_back(const base::address& where, taken_connection used) {
@@ -185,22 +186,26 @@
 exchange_result upstream_client::exchange(const exchange_key& key,
                                           const base::address& where,
                                           const upstream_request& request,
-                                          base::instant deadline) {
+                                          const exchange_bounds& bounds) {
   implementation& self = *implementation_;
-  if (self.clock() >= deadline) {
+  const base::instant start = self.clock();
+  if (start >= bounds.deadline) {
     return failed(attempt_result::not_sent);
   }
-  auto taken = self.take(where, deadline);
-  const base::duration left = deadline - self.clock();
+  auto taken = self.take(where, bounds.deadline);
+  const base::duration left = bounds.deadline - self.clock();
   if (!taken.client || left <= base::duration::zero()) {
     return failed(attempt_result::not_sent);
   }
   const std::string wire = to_wire(request, where, left);
+  http_limits limits{self.clock, bounds.deadline, self.options.max_answer_bytes, {}, {}};
+  if (taken.used_before) {
+    limits.silent_at = start + bounds.silence;
+    limits.on_silence = [&self, &where] { self.retire(where); };
+  }
   http_response response;
   self.enter(key, taken.client);
-  const http_end end =
-      taken.client->exchange(wire, request.method != "HEAD",
-                             {self.clock, deadline, self.options.max_answer_bytes}, response);
+  const http_end end = taken.client->exchange(wire, request.method != "HEAD", limits, response);
   const bool cancelled = self.leave(key);
   return self.conclude(where, std::move(taken), end, cancelled, std::move(response));
 }
--- a/src/catkintack/net/upstream_client_test.cpp
+++ b/src/catkintack/net/upstream_client_test.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
+#include <thread>
+
 #include "free_port.hpp"
 #include "raw_server.hpp"
 
@@ -21,9 +24,8 @@
 class upstream_client_test : public ::testing::Test {
  protected:
   exchange_result get(const base::address& where, base::duration time_left = seconds(30)) {
-    ++last_call_;
-    return client_.exchange({base::call_id(last_call_), base::attempt_number(1)}, where,
-                            {"GET", "/labels", {}, ""}, clock_() + time_left);
+    return client_.exchange({base::call_id(++last_call_), base::attempt_number(1)}, where,
+                            {"GET", "/labels", {}, ""}, {clock_() + time_left, silence_});
   }
 
   /// The result of an exchange in which the upstream sends these bytes and closes.
@@ -37,7 +39,8 @@
 
   base::clock_hook clock_ = base::system_clock_hook();
   upstream_client client_{{milliseconds(250), 64, 1000}, clock_};
-  std::uint64_t last_call_ = 0;
+  std::atomic<std::uint64_t> last_call_ = 0;
+  base::duration silence_ = seconds(30);
 };
 
 TEST_F(upstream_client_test, answer_cut_at_any_byte_is_broken) {
@@ -81,6 +84,38 @@
   EXPECT_EQ(get(server.where(), milliseconds(20)).result, attempt_result::timed_out);
 }
 
+// The third request, on an old connection, is answered only once a new connection is made.
+TEST_F(upstream_client_test, silence_on_an_old_connection_retires_all_of_its_age) {
+  std::atomic<int> requests = 0;
+  const raw_server* upstream = nullptr;
+  const raw_server server([&](int descriptor) {
+    const int number = ++requests;
+    const int wanted = number <= 2 ? 2 : 3;
+    while (number <= 3 && upstream->connections() < wanted) {
+      std::this_thread::yield();
+    }
+    return raw_server::send(descriptor, counted);
+  });
+  upstream = &server;
+  std::thread other([&] { get(server.where()); });
+  get(server.where());
+  other.join();
+  silence_ = milliseconds(1);
+  std::atomic<bool> ended = false;
+  std::thread waiting([&] {
+    EXPECT_EQ(get(server.where()).result, attempt_result::answered);
+    ended = true;
+  });
+  while (requests < 3) {
+    std::this_thread::yield();
+  }
+  while (!ended) {
+    EXPECT_EQ(get(server.where()).result, attempt_result::answered);
+  }
+  waiting.join();
+  EXPECT_GE(server.connections(), 3);
+}
+
 TEST_F(upstream_client_test, whole_exchange_keeps_its_connection) {
   const raw_server server([](int descriptor) { return raw_server::send(descriptor, counted); });
   for (int turn = 0; turn < 3; ++turn) {
--- a/tests/fake_store.hpp
+++ b/tests/fake_store.hpp
@@ -25,7 +25,7 @@
  public:
   boost::leaf::result<config::stored_value> read(const std::string& key) override {
     const store_fault fault = next(read_faults);
-    const config::stored_value value = values[key];
+    config::stored_value value = values[key];
     if (late_) {
       std::exchange(late_, {})();
     }
