Keep a forwarded call's place in its chain; split the callers' side by direction

Causes: a repeat that crossed to its id's home arrived there with depth 0 and a fresh retry budget, since the message carried neither (the merge of delivery and limits; found by reading). The callers' side had one handler that read, checked, ran, counted and wrote; hop-by-hop headers were listed twice, differently; a malformed header's error did not name it. Of eight kinds of breach one was ever recorded. Ruled out: letting the home read the chain's headers again, which to_upstream() drops on purpose.

--- a/include/catkintack/daemon/traffic_server.hpp
+++ b/include/catkintack/daemon/traffic_server.hpp
@@ -12,6 +12,11 @@
 #include "catkintack/daemon/settings.hpp"
 #include "catkintack/delivery/request_identity.hpp"
 
+namespace httplib {
+struct Request;
+struct Response;
+}  // namespace httplib
+
 namespace catkintack::daemon {
 
 /// @brief The listener for callers.
@@ -37,6 +42,9 @@
                  call_worker& worker,
                  base::metric_registry& metrics);
   void add_routes(httplib::Server& server);
+  void serve(const httplib::Request& request, httplib::Response& response);
+  void count(const delivery::final_answer& end);
+  bool is_idempotent_service(const base::service_id& service) const;
   std::string token() const;
   bool requires_id(const base::service_id& service) const;
   /// A call that outlives the longest planned stop would be cut by one.
--- a/include/catkintack/gateway/gateway.hpp
+++ b/include/catkintack/gateway/gateway.hpp
@@ -135,6 +135,7 @@
   void refuse_waiting(base::instant now, base::call_id id, call& state);
   void hedge(base::instant now, base::call_id id);
   void hedge_due(base::instant now);
+  void record_breaches(const call& state, const routing::upstream_record& target);
   base::duration silence_limit(const base::service_id& service) const;
 
   // Waiting calls, in gateway_queue.cpp.
--- a/include/catkintack/net/peer_delivery.hpp
+++ b/include/catkintack/net/peer_delivery.hpp
@@ -21,6 +21,8 @@
   base::service_id service;
   std::uint64_t time_left_us = 0;
   std::uint64_t fingerprint = 0;
+  std::uint32_t depth = 0;
+  std::vector<std::uint32_t> retries_left;  ///< None or one.
   std::string method;
   std::string target;
   std::vector<std::pair<std::string, std::string>> headers;
@@ -30,7 +32,8 @@
   /// @param archive The cereal archive.
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(request, key_hash, service, time_left_us, fingerprint, method, target, headers, body);
+    archive(request, key_hash, service, time_left_us, fingerprint, depth, retries_left, method,
+            target, headers, body);
   }
 };
 
--- a/src/catkintack/daemon/peer_calls.cpp
+++ b/src/catkintack/daemon/peer_calls.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "catkintack/net/peer_codec.hpp"
+#include "forwarded_call.hpp"
 
 namespace catkintack::daemon {
 namespace {
@@ -38,17 +39,6 @@
   return parts;
 }
 
-gateway::call_arrived to_event(const net::forwarded_call& call) {
-  gateway::call_arrived event;
-  event.request = call.request;
-  event.key_hash = call.key_hash;
-  event.service = call.service;
-  event.time_left = base::duration(call.time_left_us);
-  event.fingerprint = call.fingerprint;
-  event.forwarded = true;
-  return event;
-}
-
 }  // namespace
 
 peer_calls::peer_calls(delivery::home self,
@@ -81,11 +71,8 @@
                                                           const gateway::call_arrived& event,
                                                           const net::upstream_request& request,
                                                           base::instant deadline) {
-  net::forwarded_call call{event.request,     event.key_hash, event.service,  0,
-                           event.fingerprint, request.method, request.target, request.headers,
-                           request.body};
   const base::duration left = std::max(deadline - clock_(), base::duration::zero());
-  call.time_left_us = static_cast<std::uint64_t>(left.count());
+  const net::forwarded_call call = to_message(event, request, left);
   const auto body = ask(host, peer_request_kind::forward_call, net::encode(call), deadline);
   if (!body) {
     return std::nullopt;
--- a/src/catkintack/gateway/gateway_attempts.cpp
+++ b/src/catkintack/gateway/gateway_attempts.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "catkintack/base/breach.hpp"
 #include "own_answers.hpp"
 
 namespace catkintack::gateway {
@@ -78,6 +79,7 @@
                    base::call_id id,
                    call& state,
                    const routing::upstream_record& target) {
+  record_breaches(state, target);
   state.last_attempt = state.last_attempt.next();
   state.tried.push_back(target.id);
   state.in_flight.push_back({state.last_attempt, target.id, now});
@@ -89,6 +91,17 @@
                    limits::retry_budget::below(state.retries_left), silence_limit(state.service)});
 }
 
+void gateway::record_breaches(const call& state, const routing::upstream_record& target) {
+  if (target.leaving) {
+    recorder_("routing", std::string(base::breach::leaving_got_work), state.request,
+              {{"upstream", target.id.value()}});
+  }
+  if (state.may_have_run && !state.idempotent) {
+    recorder_("delivery", std::string(base::breach::sent_twice), state.request,
+              {{"attempt", std::to_string(state.last_attempt.next().value())}});
+  }
+}
+
 base::duration gateway::silence_limit(const base::service_id& service) const {
   const auto usual = router_.latencies(service).quantile();
   return usual ? std::max(*usual * silence_factor, least_silence) : unknown_silence;
--- a/src/catkintack/net/upstream_client.cpp
+++ b/src/catkintack/net/upstream_client.cpp
@@ -1,12 +1,12 @@
 #include "catkintack/net/upstream_client.hpp"
 
 #include <algorithm>
-#include <cctype>
 #include <charconv>
 #include <map>
 #include <mutex>
 #include <utility>
 
+#include "catkintack/net/header_rules.hpp"
 #include "catkintack/net/headers.hpp"
 #include "catkintack/net/http_connection.hpp"
 #include "catkintack/net/load_header.hpp"
@@ -35,15 +35,6 @@
   return wire + request.body;
 }
 
-bool is_hop_by_hop(const std::string& name) {
-  static constexpr const char* names[] = {"connection",     "keep-alive", "transfer-encoding",
-                                          "content-length", "upgrade",    "trailer"};
-  std::string lower = name;
-  std::transform(lower.begin(), lower.end(), lower.begin(),
-                 [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
-  return std::find(std::begin(names), std::end(names), lower) != std::end(names);
-}
-
 std::optional<base::duration> read_retry_after(const http_response& response) {
   const std::string text = find_header(response.headers, headers::retry_after).value_or("");
   std::uint32_t seconds = 0;
