Send probes within the fleet's budget

Cause: the budget was proved and nothing spent from it; an idle upstream that was leaving was noticed only by a request that it refused, or by a lagging host list. Ruled out: probing ejected upstreams more often than others (attempts judge health); a probe that fails as a failure (its path may be slower than calls). Change: send_probe and probe_ended; the stalest upstream of the region, ten looks a second, each probe spent in advance; cost at /metrics; an unread host list shrinks the share. The default burst is 10 s, as one second's share of a 64th never covered a probe; the unit test that counts on a burst of 1 s now sets it.

--- a/include/catkintack/daemon/call_worker.hpp
+++ b/include/catkintack/daemon/call_worker.hpp
@@ -2,6 +2,7 @@
 /// Runs calls: carries out the decision core's actions for them.
 #pragma once
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -49,6 +50,10 @@
     demand_hook_ = std::move(hook);
   }
 
+  /// @brief What probes have cost so far.
+  /// @return The sum.
+  routing::probe_cost probe_spending() const { return runner_.probe_spending(); }
+
   /// @brief Calls in progress.
   /// @return Their number.
   std::size_t open_calls() const { return runner_.open_calls(); }
@@ -71,6 +76,7 @@
                const gateway::call_arrived& event,
                const net::upstream_request& request);
   void attempt_elsewhere(const gateway::send_attempt& action);
+  void probe(const gateway::send_probe& action);
   void report_not_sent(const gateway::send_attempt& action);
   void remember(base::call_id call, shared_request request);
   void forget(base::call_id call);
@@ -80,6 +86,7 @@
   net::upstream_client upstreams_;
   forward_hook forward_;
   core_runner runner_;
+  std::atomic<std::uint64_t> probes_ = 0;
   std::mutex mutex_;
   std::unordered_map<base::call_id, shared_request> requests_;
   task_pool pool_;  // Last, so that its threads end first.
--- a/include/catkintack/daemon/control_loop.hpp
+++ b/include/catkintack/daemon/control_loop.hpp
@@ -56,6 +56,8 @@
   /// @brief Posts a reading of the host list.
   /// @param hosts The reading.
   void on_hosts(net::host_list hosts);
+  /// @brief Posts that a reading of the host list was the same as the one before.
+  void on_hosts_unchanged();
   /// @brief Posts a list read from the store.
   /// @param revision The store's revision.
   /// @param body The list.
@@ -119,6 +121,7 @@
   membership::fleet peers_;
   config::list_sync list_sync_;
   net::host_list hosts_;
+  base::instant hosts_read_at_ = base::instant::min();
   config::shared_lists lists_;
   std::uint64_t heartbeat_sequence_ = 0;
   bool leaving_ = false;
--- a/include/catkintack/daemon/core_runner.hpp
+++ b/include/catkintack/daemon/core_runner.hpp
@@ -20,6 +20,8 @@
   base::clock_hook clock;
   /// Runs an attempt on a thread other than the one that serves the call.
   std::function<void(const gateway::send_attempt&)> run_elsewhere;
+  /// Sends a probe on another thread.
+  std::function<void(const gateway::send_probe&)> send_probe;
   /// Breaks an attempt in flight.
   std::function<void(const gateway::cancel_attempt&)> cancel;
   /// Tells all peers this host's demand.
@@ -55,17 +57,22 @@
   /// @return The newest epoch.
   std::uint64_t newest_epoch() const { return newest_epoch_; }
 
+  /// @brief What probes have cost so far.
+  /// @return The sum.
+  routing::probe_cost probe_spending() const;
+
   /// @brief What a successor must know of this host's ids.
   /// @param self This incarnation.
   /// @return The whole table.
   delivery::hand_over_part table(const delivery::home& self) const;
 
  private:
-  using demand_list = std::vector<gateway::publish_demand>;
+  /// Actions of the whole host, which need not keep an order with those of calls.
+  using host_actions = std::vector<gateway::gateway_action>;
 
-  demand_list decide(const gateway::gateway_event& event);
+  host_actions decide(const gateway::gateway_event& event);
   void deliver(const gateway::gateway_action& action);
-  void publish(const demand_list& demands) const;
+  void perform(const host_actions& actions) const;
 
   std::unique_ptr<gateway::gateway> core_;
   core_runner_hooks hooks_;
--- a/include/catkintack/daemon/platform_poller.hpp
+++ b/include/catkintack/daemon/platform_poller.hpp
@@ -18,6 +18,7 @@
 /// thread.
 struct platform_hooks {
   std::function<void(net::host_list)> on_hosts;
+  std::function<void()> on_hosts_unchanged;  ///< The reading was the same as the one before.
 };
 
 /// @brief Polls at a steady pace.
--- a/include/catkintack/gateway/gateway.hpp
+++ b/include/catkintack/gateway/gateway.hpp
@@ -20,6 +20,7 @@
 #include "catkintack/gateway/gateway_action.hpp"
 #include "catkintack/gateway/gateway_event.hpp"
 #include "catkintack/gateway/hedge_schedule.hpp"
+#include "catkintack/gateway/probe_options.hpp"
 #include "catkintack/gateway/queue_options.hpp"
 #include "catkintack/limits/limiter.hpp"
 #include "catkintack/limits/retry_budget.hpp"
@@ -45,6 +46,7 @@
   limits::limiter_options limiter;
   limits::retry_budget_options retries;
   queue_options queue;
+  probe_options probe;
   hedge_options hedge;
 };
 
@@ -59,6 +61,10 @@
   /// @return What is to be done, in order.
   std::vector<gateway_action> handle(base::instant now, const gateway_event& event);
 
+  /// @brief What probes have cost so far.
+  /// @return The sum; zero before the first tick.
+  routing::probe_cost probe_spending() const;
+
   /// @brief The ids of this incarnation, for its successor.
   /// @return The registry.
   const delivery::request_registry& registry() const { return registry_; }
@@ -101,6 +107,7 @@
   void on(base::instant now, const peer_demand_received& event);
 
   void on(base::instant now, const forward_ended& event);
+  void on(base::instant now, const probe_ended& event);
   void on(base::instant now, const stop_begun& event);
   void on(base::instant now, const handed_over& event);
   void on(base::instant now, const successor_named& event);
@@ -138,6 +145,9 @@
   void record_breaches(const call& state, const routing::upstream_record& target);
   base::duration silence_limit(const base::service_id& service) const;
 
+  // Probes, in gateway_probes.cpp.
+  void probe_due(base::instant now);
+
   // Waiting calls, in gateway_queue.cpp.
   bool enqueue(base::instant now, base::call_id id, const call& state);
   base::duration expected_wait(base::instant now, const base::service_id& service) const;
@@ -158,6 +168,8 @@
   config::shared_lists lists_;
   std::unordered_map<base::service_id, std::deque<base::call_id>> queues_;
   hedge_schedule hedges_;
+  std::optional<routing::probe_budget> probe_budget_;  ///< From the first tick.
+  base::instant next_probe_at_ = base::instant::min();
   std::unordered_map<base::call_id, call> calls_;
   std::vector<gateway_action> actions_;
 
--- a/include/catkintack/gateway/gateway_action.hpp
+++ b/include/catkintack/gateway/gateway_action.hpp
@@ -48,8 +48,14 @@
   limits::demand_report report;
 };
 
+/// @brief Ask an upstream for its load; report the end with probe_ended.
+struct send_probe {
+  routing::upstream_record target;
+  base::instant deadline{};  ///< Give up then.
+};
+
 /// Anything that the decision core wants done.
-using gateway_action =
-    std::variant<send_attempt, cancel_attempt, finish_call, forward_call, publish_demand>;
+using gateway_action = std::
+    variant<send_attempt, cancel_attempt, finish_call, forward_call, publish_demand, send_probe>;
 
 }  // namespace catkintack::gateway
--- a/include/catkintack/gateway/gateway_event.hpp
+++ b/include/catkintack/gateway/gateway_event.hpp
@@ -62,6 +62,7 @@
 /// @brief The number of gateway hosts, this one included, that share the allowances.
 struct fleet_sized {
   std::uint32_t live_hosts = 1;
+  std::uint32_t listed_hosts = 0;  ///< On the host list; 0 while it cannot be read.
 };
 
 /// @brief A call sent on by forward_call has ended.
@@ -90,6 +91,12 @@
   limits::demand_report report;
 };
 
+/// @brief A probe sent by send_probe has ended.
+struct probe_ended {
+  base::upstream_id upstream;
+  std::optional<routing::load_report> load;  ///< None when no report came.
+};
+
 /// Anything that happens to the decision core.
 using gateway_event = std::variant<call_arrived,
                                    attempt_ended,
@@ -101,6 +108,7 @@
                                    stop_begun,
                                    handed_over,
                                    successor_named,
-                                   peer_demand_received>;
+                                   peer_demand_received,
+                                   probe_ended>;
 
 }  // namespace catkintack::gateway
--- a/include/catkintack/routing/probe_budget.hpp
+++ b/include/catkintack/routing/probe_budget.hpp
@@ -12,7 +12,7 @@
 struct probe_budget_options {
   double bytes_per_second = 14'000;                   ///< Of the fleet, both ways.
   double upstream_ms_per_second = 50;                 ///< Of the fleet, at all upstreams.
-  base::duration burst = std::chrono::seconds(1);     ///< Unspent share that is kept.
+  base::duration burst = std::chrono::seconds(10);    ///< Unspent share that is kept.
   base::duration list_lag = std::chrono::seconds(5);  ///< Longest age of the host list's content.
   std::uint32_t least_hosts = 2;     ///< The share is never larger than that of so many hosts.
   std::uint32_t largest_fleet = 64;  ///< Assumed while the list can't be read.
@@ -40,6 +40,12 @@
   /// @param live Hosts known to be alive, this one included.
   void on_hosts(base::instant now, std::uint32_t listed, std::uint32_t live);
 
+  /// @brief Whether a probe's cost is covered.
+  /// @param now The time.
+  /// @param cost The most that the probe may use.
+  /// @return True when try_spend() would spend it.
+  bool covers(base::instant now, const probe_cost& cost);
+
   /// @brief Spends a probe's cost in advance.
   /// @param now The time.
   /// @param cost The most that the probe may use.
--- a/include/catkintack/routing/router.hpp
+++ b/include/catkintack/routing/router.hpp
@@ -78,6 +78,20 @@
                         const base::upstream_id& upstream,
                         const attempt_observation& observation);
 
+  /// @brief The upstream of this region that a probe would tell most about: the one without
+  /// attempts in flight from which nothing was heard for longest. Counts it as probed.
+  /// @param now The time.
+  /// @return The upstream, or null when each was heard within the probe age.
+  const upstream_record* choose_probe(base::instant now);
+
+  /// @brief Learns from a report that a probe brought.
+  /// @param now The time.
+  /// @param upstream The upstream probed.
+  /// @param report Its report.
+  void on_probe_report(base::instant now,
+                       const base::upstream_id& upstream,
+                       const load_report& report);
+
   /// @brief Attempts of this host in flight at an upstream.
   /// @param upstream The upstream.
   /// @return The count; 0 for an unknown upstream.
--- a/include/catkintack/routing/router_options.hpp
+++ b/include/catkintack/routing/router_options.hpp
@@ -32,6 +32,7 @@
   base::duration warm_up =
       std::chrono::milliseconds(500);  ///< Gradual start of new or returned ones.
   base::duration leaving_memory = std::chrono::seconds(5);  ///< An upstream's own word holds so.
+  base::duration probe_age = std::chrono::seconds(1);  ///< Without word for so long, a probe helps.
   double max_remote_share = 0.5;  ///< Attempts to other regions, as a share of choices.
   double remote_burst = 50;       ///< Attempts to other regions beyond the share, at once.
 };
--- a/include/catkintack/routing/upstream_state.hpp
+++ b/include/catkintack/routing/upstream_state.hpp
@@ -52,6 +52,13 @@
   /// @param report The report.
   void on_report(base::instant now, const load_report& report);
 
+  /// @brief Notes a probe of this host.
+  /// @param now When it is sent.
+  void on_probed(base::instant now) { heard_at_ = now; }
+  /// @brief When it was last heard from, probed or taken up.
+  /// @return The time.
+  base::instant heard_at() const { return heard_at_; }
+
   /// @brief Attempts of this host in flight.
   /// @return The count.
   std::uint32_t in_flight() const { return static_cast<std::uint32_t>(sent_.size()); }
@@ -102,6 +109,7 @@
   upstream_record record_;
   std::vector<sent_attempt> sent_;  ///< Those in flight.
   double others_ = 0;
+  base::instant heard_at_;
   std::optional<base::instant> reported_at_;
   std::optional<base::instant> said_leaving_at_;
   std::optional<base::instant> warm_since_;  ///< Start of a gradual start.
--- a/src/catkintack/daemon/call_worker.cpp
+++ b/src/catkintack/daemon/call_worker.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::size_t pool_threads = 8;
+constexpr const char* load_path = "/load";  // Where upstreams report their load.
 
 }  // namespace
 
@@ -19,6 +20,7 @@
       forward_(std::move(forward)),
       runner_(std::move(core),
               {clock, [this](const gateway::send_attempt& action) { attempt_elsewhere(action); },
+               [this](const gateway::send_probe& action) { probe(action); },
                [this](const gateway::cancel_attempt& action) {
                  upstreams_.cancel({action.call, action.attempt});
                },
@@ -81,6 +83,16 @@
   });
 }
 
+void call_worker::probe(const gateway::send_probe& action) {
+  const base::attempt_number number(++probes_);
+  pool_.submit([this, action, number] {
+    const net::exchange_result end =
+        upstreams_.exchange({base::call_id(), number}, action.target.where,
+                            {"GET", load_path, {}, ""}, {action.deadline});
+    runner_.submit(gateway::probe_ended{action.target.id, end.load});
+  });
+}
+
 void call_worker::report_not_sent(const gateway::send_attempt& action) {
   gateway::attempt_ended end;
   end.call = action.call;
--- a/src/catkintack/daemon/control_loop.cpp
+++ b/src/catkintack/daemon/control_loop.cpp
@@ -12,6 +12,7 @@
 constexpr base::duration busy_tick_interval = std::chrono::milliseconds(5);
 constexpr base::duration idle_tick_interval = std::chrono::milliseconds(50);
 constexpr base::duration heartbeat_interval = std::chrono::milliseconds(500);
+constexpr base::duration host_list_age_limit = std::chrono::seconds(2);
 constexpr base::duration list_interval = std::chrono::milliseconds(50);
 constexpr std::size_t datagram_overhead = 60;  // Digest, UDP and IP headers, in bytes.
 
@@ -100,8 +101,13 @@
   post([this, payload = std::move(payload)] { receive(payload); });
 }
 
+void control_loop::on_hosts_unchanged() {
+  post([this] { hosts_read_at_ = clock_(); });
+}
+
 void control_loop::on_hosts(net::host_list hosts) {
   post([this, hosts = std::move(hosts)] {
+    hosts_read_at_ = clock_();
     hosts_ = hosts;
     peers_.on_hosts(hosts_.gateways);
     worker_.submit(gateway::upstreams_listed{hosts.upstreams});
@@ -149,7 +155,13 @@
   send_heartbeat(peers_.next_targets());
   const auto live = peers_.live();
   metrics_.set("live_peers", static_cast<double>(live.size()));
-  worker_.submit(gateway::fleet_sized{static_cast<std::uint32_t>(live.size() + 1)});
+  const bool listed = clock_() - hosts_read_at_ < host_list_age_limit;
+  worker_.submit(
+      gateway::fleet_sized{static_cast<std::uint32_t>(live.size() + 1),
+                           listed ? static_cast<std::uint32_t>(hosts_.gateways.size()) : 0});
+  const routing::probe_cost spent = worker_.probe_spending();
+  metrics_.set("probe_bytes_total", spent.bytes);
+  metrics_.set("probe_upstream_ms_total", spent.upstream_ms);
   publish();
 }
 
--- a/src/catkintack/daemon/core_runner.cpp
+++ b/src/catkintack/daemon/core_runner.cpp
@@ -8,6 +8,7 @@
 
 struct call_reader {
   base::call_id operator()(const gateway::publish_demand&) const { return {}; }
+  base::call_id operator()(const gateway::send_probe&) const { return {}; }
   template <class Action>
   base::call_id operator()(const Action& action) const {
     return action.call;
@@ -27,15 +28,15 @@
 std::pair<base::call_id, std::shared_ptr<call_mailbox>> core_runner::begin(
     gateway::call_arrived event) {
   auto mailbox = std::make_shared<call_mailbox>();
-  demand_list demands;
+  host_actions actions;
   {
     const std::lock_guard lock(mutex_);
     last_call_ = last_call_.next();
     event.call = last_call_;
     mailboxes_.emplace(event.call, mailbox);
-    demands = decide(event);
+    actions = decide(event);
   }
-  publish(demands);
+  perform(actions);
   return {event.call, std::move(mailbox)};
 }
 
@@ -45,12 +46,12 @@
 }
 
 void core_runner::submit(const gateway::gateway_event& event) {
-  demand_list demands;
+  host_actions actions;
   {
     const std::lock_guard lock(mutex_);
-    demands = decide(event);
+    actions = decide(event);
   }
-  publish(demands);
+  perform(actions);
 }
 
 std::size_t core_runner::open_calls() const {
@@ -58,23 +59,29 @@
   return mailboxes_.size();
 }
 
+routing::probe_cost core_runner::probe_spending() const {
+  const std::lock_guard lock(mutex_);
+  return core_->probe_spending();
+}
+
 delivery::hand_over_part core_runner::table(const delivery::home& self) const {
   const std::lock_guard lock(mutex_);
   const delivery::request_registry& registry = core_->registry();
   return {self, registry.oldest_epoch(), false, registry.entries()};
 }
 
-core_runner::demand_list core_runner::decide(const gateway::gateway_event& event) {
-  demand_list demands;
+core_runner::host_actions core_runner::decide(const gateway::gateway_event& event) {
+  host_actions actions;
   for (const gateway::gateway_action& action : core_->handle(hooks_.clock(), event)) {
-    if (const auto* const demand = std::get_if<gateway::publish_demand>(&action)) {
-      demands.push_back(*demand);
+    if (std::holds_alternative<gateway::publish_demand>(action) ||
+        std::holds_alternative<gateway::send_probe>(action)) {
+      actions.push_back(action);
     } else {
       deliver(action);
     }
   }
   newest_epoch_ = core_->registry().newest_epoch();
-  return demands;
+  return actions;
 }
 
 void core_runner::deliver(const gateway::gateway_action& action) {
@@ -89,9 +96,13 @@
   }
 }
 
-void core_runner::publish(const demand_list& demands) const {
-  for (const gateway::publish_demand& demand : demands) {
-    hooks_.publish_demand(demand);
+void core_runner::perform(const host_actions& actions) const {
+  for (const gateway::gateway_action& action : actions) {
+    if (const auto* const demand = std::get_if<gateway::publish_demand>(&action)) {
+      hooks_.publish_demand(*demand);
+    } else if (const auto* const probe = std::get_if<gateway::send_probe>(&action)) {
+      hooks_.send_probe(*probe);
+    }
   }
 }
 
--- a/src/catkintack/daemon/daemon.cpp
+++ b/src/catkintack/daemon/daemon.cpp
@@ -97,6 +97,7 @@
     directory_.update(hosts.gateways);
     control_->on_hosts(std::move(hosts));
   };
+  hooks.on_hosts_unchanged = [this] { control_->on_hosts_unchanged(); };
   platform_ = std::make_unique<platform_poller>(settings_.host_list, std::move(hooks));
   BOOST_LEAF_CHECK(open_peer_server());
   const delivery::home self{settings_.host, run_};
--- a/src/catkintack/daemon/platform_poller.cpp
+++ b/src/catkintack/daemon/platform_poller.cpp
@@ -41,6 +41,7 @@
       [this]() -> leaf::result<void> {
         BOOST_LEAF_AUTO(text, net::fetch_host_list_text(host_list_, host_list_timeout));
         if (text == last_text_) {
+          hooks_.on_hosts_unchanged();
           return {};
         }
         BOOST_LEAF_AUTO(hosts, net::parse_host_list(text));
--- a/src/catkintack/gateway/fleet_model.hpp
+++ b/src/catkintack/gateway/fleet_model.hpp
@@ -71,6 +71,7 @@
   void on(std::size_t index, const finish_call& action);
   void on(std::size_t index, const cancel_attempt& action);
   void on(std::size_t index, const publish_demand& action);
+  void on(std::size_t index, const send_probe& action);
   void check(const base::request_id& id, const delivery::final_answer& end, bool decided_here);
   void arrive(std::size_t index, const base::request_id& id, bool forwarded, const message* origin);
 
--- a/src/catkintack/gateway/gateway.cpp
+++ b/src/catkintack/gateway/gateway.cpp
@@ -24,6 +24,7 @@
   expire_waiting(now);
   drain_queues(now);
   hedge_due(now);
+  probe_due(now);
   if (limiter_.demand_due(now)) {
     limits::demand_report report = limiter_.demand(now);
     if (!report.entries.empty()) {
@@ -48,8 +49,11 @@
   drain_queues(now);
 }
 
-void gateway::on(base::instant /*now*/, const fleet_sized& event) {
+void gateway::on(base::instant now, const fleet_sized& event) {
   limiter_.set_live_hosts(event.live_hosts);
+  if (probe_budget_ && event.listed_hosts > 0) {
+    probe_budget_->on_hosts(now, event.listed_hosts, event.live_hosts);
+  }
 }
 
 }  // namespace catkintack::gateway
--- a/src/catkintack/gateway/gateway_delivery_test.cpp
+++ b/src/catkintack/gateway/gateway_delivery_test.cpp
@@ -249,6 +249,8 @@
 
 void fleet_model::on(std::size_t /*index*/, const publish_demand& /*action*/) {}
 
+void fleet_model::on(std::size_t /*index*/, const send_probe& /*action*/) {}
+
 void fleet_model::check(const base::request_id& id,
                         const delivery::final_answer& end,
                         bool decided_here) {
--- a/src/catkintack/routing/probe_budget.cpp
+++ b/src/catkintack/routing/probe_budget.cpp
@@ -35,12 +35,16 @@
   tokens_.upstream_ms = fill(tokens_.upstream_ms, options_.upstream_ms_per_second);
 }
 
-bool probe_budget::try_spend(base::instant now, const probe_cost& cost) {
+bool probe_budget::covers(base::instant now, const probe_cost& cost) {
   if (now < spends_from_) {
     return false;
   }
   refill(now);
-  if (cost.bytes > tokens_.bytes || cost.upstream_ms > tokens_.upstream_ms) {
+  return cost.bytes <= tokens_.bytes && cost.upstream_ms <= tokens_.upstream_ms;
+}
+
+bool probe_budget::try_spend(base::instant now, const probe_cost& cost) {
+  if (!covers(now, cost)) {
     return false;
   }
   tokens_.bytes -= cost.bytes;
--- a/src/catkintack/routing/probe_budget_test.cpp
+++ b/src/catkintack/routing/probe_budget_test.cpp
@@ -18,6 +18,7 @@
   probe_budget_options options;
   options.list_lag = seconds(2);
   options.largest_fleet = 12;
+  options.burst = seconds(1);
   return options;
 }
 
--- a/src/catkintack/routing/router.cpp
+++ b/src/catkintack/routing/router.cpp
@@ -210,6 +210,31 @@
   }
 }
 
+const upstream_record* router::choose_probe(base::instant now) {
+  upstream_state* stalest = nullptr;
+  for (auto& [id, state] : states_) {
+    const bool useful = is_local(state) && !state.record().leaving && state.in_flight() == 0 &&
+                        now - state.heard_at() >= options_.probe_age;
+    if (useful && (stalest == nullptr || state.heard_at() < stalest->heard_at())) {
+      stalest = &state;
+    }
+  }
+  if (stalest == nullptr) {
+    return nullptr;
+  }
+  stalest->on_probed(now);
+  return &stalest->record();
+}
+
+void router::on_probe_report(base::instant now,
+                             const base::upstream_id& upstream,
+                             const load_report& report) {
+  const auto found = states_.find(upstream);
+  if (found != states_.end()) {
+    found->second.on_report(now, report);
+  }
+}
+
 std::uint32_t router::in_flight(const base::upstream_id& upstream) const {
   const auto found = states_.find(upstream);
   return found == states_.end() ? 0 : found->second.in_flight();
--- a/src/catkintack/routing/upstream_state.cpp
+++ b/src/catkintack/routing/upstream_state.cpp
@@ -31,7 +31,7 @@
 }  // namespace
 
 upstream_state::upstream_state(base::instant now, upstream_record record, bool cold)
-    : record_(std::move(record)) {
+    : record_(std::move(record)), heard_at_(now) {
   if (cold) {
     warm_since_ = now;
   }
@@ -70,6 +70,7 @@
   const double total = static_cast<double>(report.running) + report.queued;
   others_ = std::max(0.0, total - static_cast<double>(sent_.size()));
   reported_at_ = now;
+  heard_at_ = now;
   said_leaving_at_ = report.leaving ? std::optional(now) : std::nullopt;
 }
 
