--- a/src/catkintack/gateway/gateway_attempts.cpp
+++ b/src/catkintack/gateway/gateway_attempts.cpp
@@ -13,7 +13,6 @@
 using delivery::outcome;
 using routing::attempt_result;
 
-constexpr int status_bad_gateway = 502;
 constexpr int first_server_error_status = 500;
 constexpr int silence_factor = 4;  // Times the usual latency's quantile.
 constexpr base::duration least_silence = std::chrono::milliseconds(20);
@@ -43,9 +42,7 @@
 void gateway::refuse_waiting(base::instant now, base::call_id id, call& state) {
   const std::string service = "service \"" + state.service.value() + "\"";
   if (state.may_have_run) {
-    finish(id, state,
-           {outcome::unknown, status_bad_gateway, nullptr, service + " gave no whole answer",
-            std::nullopt});
+    finish(id, state, unknown(service + " gave no whole answer"));
     return;
   }
   if (!router_.busy(now, state.service, state.tried)) {
@@ -210,9 +207,7 @@
 void gateway::give_up(base::call_id id, call& state, const attempt_ended& event) {
   const std::string service = "service \"" + state.service.value() + "\"";
   if (state.may_have_run) {
-    finish(id, state,
-           {outcome::unknown, status_bad_gateway, nullptr, service + " gave no whole answer",
-            std::nullopt});
+    finish(id, state, unknown(service + " gave no whole answer"));
     return;
   }
   final_answer end = unavailable("no upstream of " + service + " ran the request");
--- a/src/catkintack/gateway/gateway_delivery.cpp
+++ b/src/catkintack/gateway/gateway_delivery.cpp
@@ -15,13 +15,8 @@
 
 constexpr int status_bad_request = 400;
 constexpr int status_mismatch = 422;
-constexpr int status_bad_gateway = 502;
 constexpr int status_timeout = 504;
 
-final_answer unknown(int status, std::string message) {
-  return {outcome::unknown, status, nullptr, std::move(message), std::nullopt};
-}
-
 /// Ties an id to its customer and its request, so that nobody gets the answer of another.
 std::uint64_t fingerprint_of(const call_arrived& event) {
   const std::string text =
@@ -66,8 +61,8 @@
   const base::host_id& host =
       successor == successors_.end() ? identity->owner.host : successor->second;
   if (event.forwarded || host == options_.self->host) {
-    answer_at_once(event, unknown(status_bad_gateway, "incarnation " + to_string(identity->owner) +
-                                                          " is gone; the request may have run"));
+    answer_at_once(event, unknown("incarnation " + to_string(identity->owner) +
+                                  " is gone; the request may have run"));
     return;
   }
   forward(now, event, host);
@@ -87,8 +82,7 @@
       actions_.emplace_back(finish_call{event.call, *registry_.recorded(event.request)});
       return;
     case registry_state::forgotten:
-      answer_at_once(event, unknown(status_bad_gateway,
-                                    "the request id is too old to be remembered; it may have run"));
+      answer_at_once(event, unknown("the request id is too old to be remembered; it may have run"));
       return;
     case registry_state::never_issued:
       answer_at_once(event, not_run(status_bad_request,
@@ -116,8 +110,7 @@
                                         "make a new request id"));
       return;
     case handed_over_state::unknown:
-      answer_at_once(event, unknown(status_bad_gateway,
-                                    "the id's host stopped and what is known "
+      answer_at_once(event, unknown("the id's host stopped and what is known "
                                     "of its ids is not complete; "
                                     "the request may have run"));
       return;
@@ -139,8 +132,7 @@
     return;
   }
   const final_answer end =
-      event.end.value_or(unknown(status_bad_gateway,
-                                 "the host that the request id belongs to gave no whole answer; "
+      event.end.value_or(unknown("the host that the request id belongs to gave no whole answer; "
                                  "the request may have run"));
   recorder_("delivery", "forward_ended", found->second, {{"outcome", to_string(end.result)}});
   forwarded_.erase(found);
@@ -206,7 +198,7 @@
     recorder_("delivery", "repeat_timed_out", waiting->second.request, {});
     actions_.emplace_back(finish_call{
         waiting->first,
-        unknown(status_timeout, "the request did not end before this repeat's deadline")});
+        unknown("the request did not end before this repeat's deadline", status_timeout)});
     waiting = waiting_.erase(waiting);
   }
 }
--- a/src/catkintack/gateway/own_answers.cpp
+++ b/src/catkintack/gateway/own_answers.cpp
@@ -20,4 +20,8 @@
   return not_run(status_unavailable, std::move(message), unavailable_retry_after);
 }
 
+delivery::final_answer unknown(std::string message, int status) {
+  return {delivery::outcome::unknown, status, nullptr, std::move(message), std::nullopt};
+}
+
 }  // namespace catkintack::gateway
--- a/src/catkintack/gateway/own_answers.hpp
+++ b/src/catkintack/gateway/own_answers.hpp
@@ -23,4 +23,10 @@
 /// @return The answer, with the usual time to come back.
 delivery::final_answer unavailable(std::string message);
 
+/// @brief A final answer for a request that may have run.
+/// @param message Names what went wrong.
+/// @param status HTTP status.
+/// @return The answer.
+delivery::final_answer unknown(std::string message, int status = 502);
+
 }  // namespace catkintack::gateway
