--- a/tests/session.cpp
+++ b/tests/session.cpp
@@ -89,10 +89,10 @@
     options.routing.region = base::region_id(line.option("region"));
     options.queue.capacity = line.number("queue", options.queue.capacity);
     options.hedge.burst = static_cast<double>(line.number("hedges", 5));
-    add_host(name, line.number("run", 1), options);
+    start_host(name, line.number("run", 1), options);
   }
 
-  void add_host(const std::string& name, std::uint64_t run, gateway::gateway_options options) {
+  void start_host(const std::string& name, std::uint64_t run, gateway::gateway_options options) {
     const delivery::home self{base::host_id(name), base::incarnation(run)};
     if (!name.empty()) {
       options.self = self;
@@ -106,46 +106,50 @@
                               })};
   }
 
+  using command = void (session::*)(const session_line& line);
+
   void step(const session_line& line) {
-    const std::string& command = line.words.at(0);
-    if (command == "host") {
-      add_host(line);
-    } else if (command == "forward_end") {
-      end_forward(line);
-    } else if (command == "stop") {
-      feed(line, gateway::stop_begun{});
-    } else if (command == "hand_over") {
-      hand_over(line);
-    } else if (command == "successor") {
-      const host& leaver = hosts_.at(line.option("of"));
-      feed(line, gateway::successor_named{leaver.self, base::host_id(line.option("is"))});
-    } else if (command == "customer") {
-      const base::customer_id id(line.words.at(1));
-      plans_.customers[id] = {id, base::plan_id(line.words.at(2)), line.words.at(3)};
-    } else if (command == "allowance") {
-      add_allowance(line);
-    } else if (command == "lists") {
-      adopt(line);
-    } else if (command == "upstream") {
-      list_upstream(line);
-    } else if (command == "hosts") {
-      const auto hosts = static_cast<std::uint32_t>(std::stoul(line.words.at(1)));
-      feed(line, gateway::fleet_sized{hosts, hosts});
-    } else if (command == "call") {
-      call(line);
-    } else if (command == "end") {
-      end(line);
-    } else if (command == "probe_end") {
-      end_probe(line);
-    } else if (command == "tick") {
-      feed(line, gateway::tick{});
-    } else if (command == "demand") {
-      peer_demand(line);
-    } else {
-      throw std::runtime_error("\"" + command + "\" is no session command");
+    static const std::map<std::string, command> commands = {{"host", &session::add_host},
+                                                            {"forward_end", &session::end_forward},
+                                                            {"stop", &session::stop},
+                                                            {"hand_over", &session::hand_over},
+                                                            {"successor", &session::successor},
+                                                            {"customer", &session::customer},
+                                                            {"allowance", &session::add_allowance},
+                                                            {"lists", &session::adopt},
+                                                            {"upstream", &session::list_upstream},
+                                                            {"hosts", &session::fleet},
+                                                            {"call", &session::call},
+                                                            {"end", &session::end},
+                                                            {"probe_end", &session::end_probe},
+                                                            {"tick", &session::tick},
+                                                            {"demand", &session::peer_demand}};
+    const auto found = commands.find(line.words.at(0));
+    if (found == commands.end()) {
+      throw std::runtime_error("\"" + line.words[0] + "\" is no session command");
     }
+    (this->*found->second)(line);
+  }
+
+  void stop(const session_line& line) { feed(line, gateway::stop_begun{}); }
+
+  void successor(const session_line& line) {
+    const host& leaver = hosts_.at(line.option("of"));
+    feed(line, gateway::successor_named{leaver.self, base::host_id(line.option("is"))});
   }
 
+  void customer(const session_line& line) {
+    const base::customer_id id(line.words.at(1));
+    plans_.customers[id] = {id, base::plan_id(line.words.at(2)), line.words.at(3)};
+  }
+
+  void fleet(const session_line& line) {
+    const auto hosts = static_cast<std::uint32_t>(std::stoul(line.words.at(1)));
+    feed(line, gateway::fleet_sized{hosts, hosts});
+  }
+
+  void tick(const session_line& line) { feed(line, gateway::tick{}); }
+
   void add_allowance(const session_line& line) {
     config::allowance entry;
     entry.plan = base::plan_id(line.words.at(1));
@@ -266,7 +270,7 @@
   /// Feeds the host named by at=, or every host.
   void feed(const session_line& line, const gateway::gateway_event& event) {
     if (hosts_.empty()) {
-      add_host("", 0, {});
+      start_host("", 0, {});
     }
     for (auto& [name, fed] : hosts_) {
       if (line.has("at") && line.option("at") != name) {
