--- a/src/programs/catkintack.cpp
+++ b/src/programs/catkintack.cpp
@@ -22,6 +22,17 @@
 
 constexpr int unset = -1;
 
+constexpr const char* other_help =
+    "[OPTION...] COMMAND\n\n"
+    "Commands:\n"
+    "  plans list | show CUSTOMER | set CUSTOMER PLAN | remove CUSTOMER\n"
+    "  allowances list | show PLAN SERVICE | set PLAN SERVICE | remove PLAN SERVICE\n"
+    "  plans|allowances apply FILE | history | rollback VERSION | recover\n"
+    "  status\n"
+    "  timeline\n"
+    "  check-settings FILE\n\n"
+    "Exit codes: 0 done, 1 refused or failed, 2 usage, 3 conflict, 4 unknown, 5 not yet in force\n";
+
 struct raw_options {
   const char* store = "127.0.0.1:9001";
   const char* host_list = "127.0.0.1:9002";
@@ -120,8 +131,7 @@
       POPT_AUTOHELP POPT_TABLEEND};
   const std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> context(
       poptGetContext("catkintack", argc, argv, table, 0), &poptFreeContext);
-  poptSetOtherOptionHelp(context.get(),
-                         "[OPTION...] plans|allowances|status|timeline|check-settings [WORD...]");
+  poptSetOtherOptionHelp(context.get(), other_help);
   const int parsed = poptGetNextOpt(context.get());
   if (parsed < -1) {
     return report(std::string(poptBadOption(context.get(), 0)) + ": " + poptStrerror(parsed));
