Send a request without copying it for each attempt

Cause: found in the read of the whole change: run() copied the request, and each attempt copied it again, body included, to add two headers. Ruled out: adding the headers when the call arrives, since each attempt has its own retries left. Change: run() takes the request over; exchange_options carries an attempt's own headers, and its name says that it is more than bounds.

--- a/include/catkintack/daemon/call_worker.hpp
+++ b/include/catkintack/daemon/call_worker.hpp
@@ -37,8 +37,7 @@
   /// @param event The call's arrival.
   /// @param request What is to be sent upstream.
   /// @return The final answer.
-  delivery::final_answer run(const gateway::call_arrived& event,
-                             const net::upstream_request& request);
+  delivery::final_answer run(const gateway::call_arrived& event, net::upstream_request request);
 
   /// @brief Feeds an event to the core.
   /// @param event The event.
--- a/include/catkintack/net/upstream_client.hpp
+++ b/include/catkintack/net/upstream_client.hpp
@@ -48,10 +48,11 @@
   std::uint64_t max_answer_bytes = 64U << 20U;  ///< Of a body; a larger answer counts as broken.
 };
 
-/// @brief Bounds of one exchange.
-struct exchange_bounds {
+/// @brief Bounds of one exchange, and what it adds to the request.
+struct exchange_options {
   base::instant deadline{};  ///< Nothing is sent, and nothing is waited for, past this.
-  base::duration silence = std::chrono::seconds(1);  ///< See exchange().
+  base::duration silence = std::chrono::seconds(1);               ///< See exchange().
+  std::vector<std::pair<std::string, std::string>> headers = {};  ///< Sent with the request's own.
 };
 
 /// @brief Sends requests to upstreams. Safe for use by several threads.
@@ -68,14 +69,14 @@
   /// @param key Names the exchange for cancel().
   /// @param where The upstream's address.
   /// @param request The request.
-  /// @param bounds Bounds of the exchange. When a connection that was used before gives no byte
-  /// within bounds.silence, it may have gone silent for good, and others of its age with it: all
+  /// @param options Options of the exchange. When a connection that was used before gives no byte
+  /// within options.silence, it may have gone silent for good, and others of its age with it: all
   /// connections to the upstream opened so far take no further exchange.
   /// @return How it ended. A connection whose exchange did not end whole is closed.
   exchange_result exchange(const exchange_key& key,
                            const base::address& where,
                            const upstream_request& request,
-                           const exchange_bounds& bounds);
+                           const exchange_options& options);
 
   /// @brief Breaks an exchange in flight; does nothing when it has ended.
   /// @param key The exchange.
--- a/src/catkintack/daemon/call_worker.cpp
+++ b/src/catkintack/daemon/call_worker.cpp
@@ -28,8 +28,8 @@
       pool_(pool_threads) {}
 
 delivery::final_answer call_worker::run(const gateway::call_arrived& event,
-                                        const net::upstream_request& request) {
-  const auto shared = std::make_shared<const net::upstream_request>(request);
+                                        net::upstream_request request) {
+  const auto shared = std::make_shared<const net::upstream_request>(std::move(request));
   const auto [call, mailbox] = runner_.begin(event);
   remember(call, shared);
   while (true) {
@@ -54,11 +54,13 @@
 
 gateway::attempt_ended call_worker::attempt(const gateway::send_attempt& action,
                                             const net::upstream_request& request) {
-  net::upstream_request sent = request;
-  sent.headers.emplace_back(net::headers::depth, std::to_string(action.depth));
-  sent.headers.emplace_back(net::headers::retries_left, std::to_string(action.retries_left));
-  const net::exchange_result end = upstreams_.exchange(
-      {action.call, action.attempt}, action.target.where, sent, {action.deadline, action.silence});
+  const net::exchange_options options{
+      action.deadline,
+      action.silence,
+      {{net::headers::depth, std::to_string(action.depth)},
+       {net::headers::retries_left, std::to_string(action.retries_left)}}};
+  const net::exchange_result end =
+      upstreams_.exchange({action.call, action.attempt}, action.target.where, request, options);
   return {action.call, action.attempt, end.result, end.answer, end.load, end.retry_after, end.shed};
 }
 
--- a/src/catkintack/net/upstream_client.cpp
+++ b/src/catkintack/net/upstream_client.cpp
@@ -21,18 +21,28 @@
 /// Shared because an exchange may be cancelled by another thread while it ends.
 using connection = std::shared_ptr<http_connection>;
 
+void append_header(std::string& wire, const std::string& name, const std::string& value) {
+  wire.append(name).append(": ").append(value).append("\r\n");
+}
+
 std::string to_wire(const upstream_request& request,
+                    const exchange_options& options,
                     const base::address& where,
                     base::duration time_left) {
   const auto left_ms = std::chrono::ceil<std::chrono::milliseconds>(time_left).count();
   std::string wire = request.method + " " + request.target + " HTTP/1.1\r\n";
-  wire += "Host: " + base::to_string(where) + "\r\n";
+  append_header(wire, "Host", base::to_string(where));
   for (const auto& [name, value] : request.headers) {
-    wire.append(name).append(": ").append(value).append("\r\n");
+    append_header(wire, name, value);
+  }
+  for (const auto& [name, value] : options.headers) {
+    append_header(wire, name, value);
   }
-  wire += std::string(headers::time_left) + ": " + std::to_string(left_ms) + "\r\n";
-  wire += "Content-Length: " + std::to_string(request.body.size()) + "\r\n\r\n";
-  return wire + request.body;
+  append_header(wire, headers::time_left, std::to_string(left_ms));
+  append_header(wire, "Content-Length", std::to_string(request.body.size()));
+  wire += "\r\n";
+  wire += request.body;
+  return wire;
 }
 
 std::optional<base::duration> read_retry_after(const http_response& response) {
@@ -177,21 +187,21 @@
 exchange_result upstream_client::exchange(const exchange_key& key,
                                           const base::address& where,
                                           const upstream_request& request,
-                                          const exchange_bounds& bounds) {
+                                          const exchange_options& options) {
   implementation& self = *implementation_;
   const base::instant start = self.clock();
-  if (start >= bounds.deadline) {
+  if (start >= options.deadline) {
     return failed(attempt_result::not_sent);
   }
-  auto taken = self.take(where, bounds.deadline);
-  const base::duration left = bounds.deadline - self.clock();
+  auto taken = self.take(where, options.deadline);
+  const base::duration left = options.deadline - self.clock();
   if (!taken.client || left <= base::duration::zero()) {
     return failed(attempt_result::not_sent);
   }
-  const std::string wire = to_wire(request, where, left);
-  http_limits limits{self.clock, bounds.deadline, self.options.max_answer_bytes, {}, {}};
+  const std::string wire = to_wire(request, options, where, left);
+  http_limits limits{self.clock, options.deadline, self.options.max_answer_bytes, {}, {}};
   if (taken.used_before) {
-    limits.silent_at = start + bounds.silence;
+    limits.silent_at = start + options.silence;
     limits.on_silence = [&self, &where] { self.retire(where); };
   }
   http_response response;
