Serve routes on the users' platform: event loop, probes before each send, store watch

Cause: catkintack spoke only its own interface; nothing ran on the users' platform.

Change: layers routes, directory, choice, serving, control (generic, names of headers and forms come in as options) and the adapter platform/ (header names, store client, decoding, main). One event loop with Boost.Asio coroutines and Beast's parsers. Each call probes up to four upstreams of its region, is sent over the connection that answered best, waits up to an eighth of its objective while all are busy, and is refused with a Retry-After from the queue. Routes and upstreams come from one watch of the store; other hosts are asked while it is out. The log module moved out of daemon, so that the adapter links no HTTP server of its own.

Ruled out: an expression that awaits after && or || is miscompiled by g++ 12 (the right side ran although the left decided; found by AddressSanitizer), so awaits stand in statements of their own.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -26,7 +26,7 @@
   target_link_libraries(catkintack_${name} PUBLIC ${ARG_LIBS} PRIVATE catkintack_flags)
   target_include_directories(catkintack_${name} PUBLIC ${PROJECT_SOURCE_DIR}/include
                              PRIVATE ${PROJECT_SOURCE_DIR}/src)
-  if(tests)
+  if(tests AND NOT CATKINTACK_PLATFORM_ONLY)
     catkintack_tests(${name}_test catkintack_${name} ${tests})
   endif()
 endfunction()
--- a/include/catkintack/base/hooks.hpp
+++ b/include/catkintack/base/hooks.hpp
@@ -19,6 +19,9 @@
 /// @brief The clock of the machine.
 /// @return A hook reading std::chrono::steady_clock.
 clock_hook system_clock_hook();
+/// @brief A monotonic clock that also counts time in which the machine was suspended.
+/// @return A hook reading CLOCK_BOOTTIME.
+clock_hook boot_clock_hook();
 /// @brief The wall clock of the machine.
 /// @return A hook reading std::chrono::system_clock.
 wall_clock_hook system_wall_clock_hook();
--- /dev/null
+++ b/include/catkintack/choice/placement.hpp
@@ -0,0 +1,57 @@
+/// @file
+/// Where a call goes, or that it is refused.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "catkintack/base/hooks.hpp"
+#include "catkintack/choice/call_need.hpp"
+#include "catkintack/choice/candidate.hpp"
+#include "catkintack/choice/completion_estimate.hpp"
+
+namespace catkintack::choice {
+
+/// @brief Limits of placement.
+struct placement_options {
+  estimate_options estimate;
+  /// Largest exchange that may leave the region to be served in time; bytes between regions are
+  /// paid by volume.
+  std::uint64_t remote_byte_limit = 3000;
+  /// Pause before the next probes while all candidates are busy.
+  base::duration probe_pause = std::chrono::milliseconds(12);
+  base::duration shortest_retry_after = std::chrono::milliseconds(80);
+  base::duration longest_retry_after = std::chrono::milliseconds(1500);
+};
+
+/// @brief What to do with a call.
+enum class placement_action : std::uint8_t {
+  send,          ///< Send it to the chosen upstream.
+  look_further,  ///< Probe the other regions too.
+  wait,          ///< Probe again after a pause.
+  refuse         ///< Answer "not run" at once.
+};
+
+/// @brief The outcome of one placement.
+struct placement {
+  placement_action action = placement_action::refuse;
+  std::optional<base::upstream_id> target;  ///< Set for send.
+  completion_estimate expected;             ///< Of the best candidate.
+  base::duration pause{};  ///< For wait the time to the next probes, for refuse Retry-After.
+};
+
+/// @brief Decides one call.
+/// @param probed Candidates of this region, and of others once they were probed.
+/// @param looked_everywhere Whether candidates of other regions are among them, or there are none.
+/// @param need The call.
+/// @param options Limits.
+/// @param random Spreads Retry-After, so that refused callers do not return together.
+/// @return The decision.
+placement place_call(const std::vector<candidate>& probed,
+                     bool looked_everywhere,
+                     const call_need& need,
+                     const placement_options& options,
+                     const base::random_hook& random);
+
+}  // namespace catkintack::choice
--- /dev/null
+++ b/include/catkintack/control/host_settings.hpp
@@ -0,0 +1,39 @@
+/// @file
+/// Settings of a host that serves routes.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "catkintack/base/address.hpp"
+#include "catkintack/base/ids.hpp"
+#include "catkintack/base/units.hpp"
+
+namespace catkintack::control {
+
+/// @brief Settings as read from an INI file.
+struct host_settings {
+  base::host_id host;
+  base::region_id region;
+  base::failure_domain_id failure_domain;
+  std::map<base::failure_domain_id, base::region_id> regions;  ///< Of every failure domain.
+  base::address callers;                                       ///< Where callers connect.
+  base::address readiness;           ///< Where the balancer asks; metrics are there too.
+  base::address peers;               ///< Where other hosts ask.
+  base::address registry;            ///< The registry of routes and upstreams.
+  std::vector<base::address> seeds;  ///< Other hosts to ask while the registry is out.
+  double repeat_ratio = 0.2;         ///< Repeats per request, over all hosts.
+  double repeat_slack = 50;          ///< Repeats of all hosts in one window.
+  base::duration repeat_window = std::chrono::seconds(10);
+  base::duration leaving_limit =
+      std::chrono::seconds(2);                          ///< Until a leaving upstream has no work.
+  base::duration stop_limit = std::chrono::seconds(6);  ///< From the stop signal to the kill.
+};
+
+/// @brief Why a settings file was refused.
+struct host_settings_error {
+  std::string message;  ///< All problems, one a line, with file and key.
+};
+
+}  // namespace catkintack::control
--- a/include/catkintack/daemon/settings.hpp
+++ b/include/catkintack/daemon/settings.hpp
@@ -10,7 +10,7 @@
 #include "catkintack/base/address.hpp"
 #include "catkintack/base/ids.hpp"
 #include "catkintack/base/units.hpp"
-#include "catkintack/daemon/log.hpp"
+#include "catkintack/logging/log.hpp"
 
 namespace catkintack::daemon {
 
@@ -36,7 +36,7 @@
   std::uint32_t max_attempts = 3;
   std::uint64_t max_body_bytes = 8U << 20U;
   std::uint32_t max_connections = 256;
-  log_level level = log_level::info;
+  logging::log_level level = logging::log_level::info;
   std::map<base::service_id, service_settings> services;
 };
 
--- /dev/null
+++ b/include/catkintack/limits/repeat_allowance.hpp
@@ -0,0 +1,50 @@
+/// @file
+/// This host's share of the fleet's budget of repeated sends.
+#pragma once
+
+#include <map>
+
+#include "catkintack/base/ids.hpp"
+#include "catkintack/base/units.hpp"
+
+namespace catkintack::limits {
+
+/// @brief The fleet's bound: in any window a service gets at most `ratio` times its requests plus
+/// `slack` sends beyond the first of each request.
+struct repeat_allowance_options {
+  double ratio = 0.2;                              ///< Repeats per request.
+  double slack = 50;                               ///< Repeats of all hosts in one window.
+  base::duration window = std::chrono::seconds(10);  ///< Length of the window.
+};
+
+/// @brief Token buckets by service. Not thread-safe.
+///
+/// A bucket starts empty, so that a host which restarts forgets no send it made. What it can hold
+/// is a share of the slack for one host, so all hosts together stay within the bound in any window.
+class repeat_allowance {
+ public:
+  explicit repeat_allowance(repeat_allowance_options options = {}) : options_(options) {}
+
+  /// @brief Tells how many hosts share the slack; the most that were known counts.
+  void set_hosts(std::size_t hosts);
+  /// @brief Counts a request for a service.
+  void on_request(const base::service_id& service, base::instant now);
+  /// @brief Spends one repeat.
+  /// @return Whether it may be sent.
+  bool take(const base::service_id& service, base::instant now);
+
+ private:
+  struct bucket {
+    double tokens = 0;
+    base::instant filled;
+  };
+
+  double share() const;
+  bucket& filled_bucket(const base::service_id& service, base::instant now);
+
+  repeat_allowance_options options_;
+  double hosts_ = 150;  ///< Until hosts are known: the largest deployment served today.
+  std::map<base::service_id, bucket> buckets_;
+};
+
+}  // namespace catkintack::limits
--- a/include/catkintack/daemon/log.hpp
+++ b/include/catkintack/logging/log.hpp
@@ -1,12 +1,13 @@
 /// @file
-/// The daemon's log: short sentences on standard error, one prefix per part.
+/// The daemons' logs: short sentences on standard error, one prefix per part, and structured lines
+/// on standard output.
 #pragma once
 
 #include <string>
 
 #include "catkintack/base/ids.hpp"
 
-namespace catkintack::daemon {
+namespace catkintack::logging {
 
 /// @brief How much is logged.
 enum class log_level { debug, info, warning, error };
@@ -23,4 +24,12 @@
 /// @param sentence A short sentence, without keys or bodies.
 void log(log_level level, const std::string& part, const std::string& sentence);
 
-}  // namespace catkintack::daemon
+/// @brief Sets up the output of structured lines on standard output, each written whole or not at
+/// all; a pipe that is full never blocks the writer.
+void configure_structured_output();
+
+/// @brief Writes one structured line.
+/// @param line The line, without its end.
+void write_structured_line(const std::string& line);
+
+}  // namespace catkintack::logging
--- /dev/null
+++ b/include/catkintack/serving/serving_options.hpp
@@ -0,0 +1,49 @@
+/// @file
+/// Limits and addresses of the traffic side.
+#pragma once
+
+#include <cstddef>
+
+#include "catkintack/base/address.hpp"
+#include "catkintack/base/ids.hpp"
+#include "catkintack/base/units.hpp"
+#include "catkintack/choice/placement.hpp"
+#include "catkintack/choice/suspicion.hpp"
+#include "catkintack/limits/repeat_allowance.hpp"
+#include "catkintack/serving/upstream_protocol.hpp"
+
+namespace catkintack::serving {
+
+/// @brief Settings of the traffic side.
+struct serving_options {
+  base::address callers;    ///< Where callers connect.
+  base::address readiness;  ///< Where the balancer asks, and where metrics are.
+  std::string readiness_path = "/readyz";
+  base::region_id region;
+  base::failure_domain_id failure_domain;
+  upstream_protocol protocol;
+  choice::placement_options placement;
+  choice::suspicion_options suspicion;
+  limits::repeat_allowance_options repeats;
+
+  std::size_t probes_per_call = 4;  ///< More gained nothing in trials on four upstreams a region.
+  /// After this long one answered probe is enough; a round trip in a region takes 2 to 8 ms.
+  base::duration probe_patience = std::chrono::milliseconds(15);
+  base::duration probe_limit = std::chrono::milliseconds(60);  ///< Then a probe counts as failed.
+  base::duration remote_probe_limit = std::chrono::milliseconds(120);  ///< Of another region.
+  base::duration connect_limit = std::chrono::milliseconds(500);  ///< To establish a connection.
+  base::duration idle_upstream = std::chrono::seconds(8);  ///< Oldest idle connection to reuse.
+  std::size_t idle_per_upstream = 3;    ///< Idle connections kept for one upstream.
+  std::size_t held_body = 256U << 10U;  ///< Largest body that is held to be sent again.
+  /// Part of the objective that a call may be held while its upstreams are busy.
+  int hold_divisor = 8;
+  base::duration unknown_work = std::chrono::milliseconds(100);  ///< Until a route had an answer.
+  /// A reading below this slowness of an upstream with free slots ends probing at once.
+  double good_slowness = 1.15;
+
+  /// From the stop signal until connections are refused; the balancer needs two failed checks.
+  base::duration stop_accepting_after = std::chrono::milliseconds(3200);
+  base::duration stop_limit = std::chrono::milliseconds(5700);  ///< Then open calls are cut.
+};
+
+}  // namespace catkintack::serving
--- a/src/catkintack/base/hooks.cpp
+++ b/src/catkintack/base/hooks.cpp
@@ -1,5 +1,6 @@
 #include "catkintack/base/hooks.hpp"
 
+#include <ctime>
 #include <random>
 
 namespace catkintack::base {
@@ -8,6 +9,15 @@
   return [] { return std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now()); };
 }
 
+clock_hook boot_clock_hook() {
+  return [] {
+    timespec now{};
+    (void)::clock_gettime(CLOCK_BOOTTIME, &now);  // Cannot fail on Linux with this clock.
+    return instant(std::chrono::duration_cast<duration>(std::chrono::seconds(now.tv_sec) +
+                                                        std::chrono::nanoseconds(now.tv_nsec)));
+  };
+}
+
 wall_clock_hook system_wall_clock_hook() {
   return [] { return std::chrono::time_point_cast<duration>(std::chrono::system_clock::now()); };
 }
--- /dev/null
+++ b/src/catkintack/choice/probe_plan.cpp
@@ -0,0 +1,26 @@
+#include "catkintack/choice/probe_plan.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace catkintack::choice {
+namespace {
+
+int rank(const candidate& one) {
+  return (one.suspect ? 2 : 0) + (one.where == distance::other_region ? 1 : 0);
+}
+
+}  // namespace
+
+std::vector<candidate> plan_probes(std::vector<candidate> candidates,
+                                   std::size_t count,
+                                   const base::random_hook& random) {
+  for (std::size_t i = candidates.size(); i > 1; --i) {
+    std::swap(candidates[i - 1], candidates[random() % i]);
+  }
+  std::ranges::stable_sort(candidates, {}, rank);
+  candidates.resize(std::min(candidates.size(), count));
+  return candidates;
+}
+
+}  // namespace catkintack::choice
--- /dev/null
+++ b/src/catkintack/control/read_host_settings.cpp
@@ -0,0 +1,162 @@
+#include "catkintack/control/read_host_settings.hpp"
+
+#include <ini.h>
+
+#include <charconv>
+#include <functional>
+#include <map>
+#include <optional>
+#include <sstream>
+#include <utility>
+
+namespace catkintack::control {
+namespace {
+
+namespace leaf = boost::leaf;
+
+/// Stores a value; returns what is allowed when the text is not.
+using reader = std::function<std::optional<std::string>(const std::string&, host_settings&)>;
+
+struct key_rule {
+  std::string key;  ///< "section.key".
+  bool required = false;
+  reader read;
+};
+
+template <class Id>
+reader id_value(Id host_settings::*field) {
+  return [field](const std::string& text, host_settings& s) -> std::optional<std::string> {
+    if (text.empty()) {
+      return "a name";
+    }
+    s.*field = Id(text);
+    return std::nullopt;
+  };
+}
+
+reader address_value(base::address host_settings::*field) {
+  return [field](const std::string& text, host_settings& s) -> std::optional<std::string> {
+    const auto parsed = base::parse_address(text);
+    if (!parsed) {
+      return "IPv4:PORT";
+    }
+    s.*field = *parsed;
+    return std::nullopt;
+  };
+}
+
+std::optional<double> number(std::string_view text) {
+  double value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc{} || end != text.data() + text.size() || value < 0) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+reader number_value(double host_settings::*field) {
+  return [field](const std::string& text, host_settings& s) -> std::optional<std::string> {
+    const auto parsed = number(text);
+    if (!parsed) {
+      return "a number of 0 or more";
+    }
+    s.*field = *parsed;
+    return std::nullopt;
+  };
+}
+
+reader span_value(base::duration host_settings::*field) {
+  return [field](const std::string& text, host_settings& s) -> std::optional<std::string> {
+    constexpr double microseconds_per_ms = 1000;
+    constexpr double microseconds_per_s = 1e6;
+    const bool in_ms = text.ends_with("ms");
+    const bool in_s = !in_ms && text.ends_with("s");
+    const std::string_view digits = std::string_view(text).substr(0, text.size() - (in_ms ? 2 : 1));
+    const auto parsed = in_ms || in_s ? number(digits) : std::nullopt;
+    if (!parsed) {
+      return "a span such as 250ms or 2.5s";
+    }
+    const double unit = in_ms ? microseconds_per_ms : microseconds_per_s;
+    s.*field = base::duration(static_cast<base::duration::rep>(*parsed * unit));
+    return std::nullopt;
+  };
+}
+
+reader seeds_value() {
+  return [](const std::string& text, host_settings& s) -> std::optional<std::string> {
+    std::istringstream words(text);
+    for (std::string word; std::getline(words, word, ',');) {
+      const auto parsed = base::parse_address(word);
+      if (!parsed) {
+        return "IPv4:PORT,IPv4:PORT,...";
+      }
+      s.seeds.push_back(*parsed);
+    }
+    return std::nullopt;
+  };
+}
+
+std::vector<key_rule> rules() {
+  return {
+      {"host.id", true, id_value(&host_settings::host)},
+      {"host.region", true, id_value(&host_settings::region)},
+      {"host.failure_domain", true, id_value(&host_settings::failure_domain)},
+      {"listen.callers", true, address_value(&host_settings::callers)},
+      {"listen.readiness", true, address_value(&host_settings::readiness)},
+      {"listen.peers", true, address_value(&host_settings::peers)},
+      {"registry.address", true, address_value(&host_settings::registry)},
+      {"peers.seeds", false, seeds_value()},
+      {"repeats.ratio", false, number_value(&host_settings::repeat_ratio)},
+      {"repeats.slack", false, number_value(&host_settings::repeat_slack)},
+      {"repeats.window", false, span_value(&host_settings::repeat_window)},
+      {"upstreams.leaving_limit", false, span_value(&host_settings::leaving_limit)},
+      {"stop.limit", false, span_value(&host_settings::stop_limit)},
+  };
+}
+
+int collect(void* user, const char* section, const char* name, const char* value) {
+  auto& found = *static_cast<std::map<std::string, std::string>*>(user);
+  found[std::string(section) + "." + name] = value;
+  return 1;
+}
+
+}  // namespace
+
+leaf::result<host_settings> read_host_settings(const std::string& path) {
+  std::map<std::string, std::string> found;
+  const int line = ini_parse(path.c_str(), &collect, &found);
+  if (line < 0) {
+    return leaf::new_error(host_settings_error{path + ": cannot be read"});
+  }
+  if (line > 0) {
+    return leaf::new_error(host_settings_error{path + ":" + std::to_string(line) +
+                                               ": neither a section nor key = value"});
+  }
+  host_settings result;
+  std::string problems;
+  for (const key_rule& rule : rules()) {
+    const auto value = found.find(rule.key);
+    if (value == found.end() || value->second.empty()) {
+      problems += rule.required ? path + ": " + rule.key + " is missing\n" : "";
+      continue;
+    }
+    if (const auto allowed = rule.read(value->second, result)) {
+      problems +=
+          path + ": " + rule.key + " = " + value->second + " is wrong; allowed: " + *allowed + "\n";
+    }
+  }
+  constexpr std::string_view regions_section = "regions.";
+  for (const auto& [key, value] : found) {
+    if (key.starts_with(regions_section)) {
+      result.regions[base::failure_domain_id(key.substr(regions_section.size()))] =
+          base::region_id(value);
+    }
+  }
+  if (!problems.empty()) {
+    problems.pop_back();
+    return leaf::new_error(host_settings_error{problems});
+  }
+  return result;
+}
+
+}  // namespace catkintack::control
--- a/src/catkintack/daemon/control_loop.cpp
+++ b/src/catkintack/daemon/control_loop.cpp
@@ -3,7 +3,7 @@
 #include <utility>
 
 #include "catkintack/config/list_codec.hpp"
-#include "catkintack/daemon/log.hpp"
+#include "catkintack/logging/log.hpp"
 #include "catkintack/net/peer_codec.hpp"
 
 namespace catkintack::daemon {
@@ -239,7 +239,7 @@
                  {{"list", to_string(body.kind)},
                   {"version", std::to_string(body.stamp.version.value())},
                   {"edit", std::to_string(body.stamp.edit.value())}});
-  log(log_level::info, "config",
+  logging::log(logging::log_level::info, "config",
       std::string(to_string(body.kind)) + " version " + std::to_string(body.stamp.version.value()) +
           " is in force.");
   put_in_force();
@@ -249,7 +249,7 @@
 
 void control_loop::perform(const config::record_event& action) {
   events_.record("config", action.kind, {}, action.fields);
-  log(log_level::info, "config", action.kind + ".");
+  logging::log(logging::log_level::info, "config", action.kind + ".");
   publish();
 }
 
--- a/src/catkintack/daemon/daemon.cpp
+++ b/src/catkintack/daemon/daemon.cpp
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "catkintack/base/breach.hpp"
-#include "catkintack/daemon/log.hpp"
+#include "catkintack/logging/log.hpp"
 #include "catkintack/net/http_store.hpp"
 
 namespace catkintack::daemon {
@@ -145,7 +145,7 @@
     candidates.push_back(peer.host);
   }
   const auto successor = peer_calls_->hand_over(*worker_, candidates, limit);
-  log(log_level::info, "daemon",
+  logging::log(logging::log_level::info, "daemon",
       successor ? "finished ids handed over to " + successor->value() + "."
                 : "finished ids handed over to no host.");
 }
@@ -175,7 +175,7 @@
 }
 
 std::size_t daemon::stop() {
-  log(log_level::info, "daemon", "leaving.");
+  logging::log(logging::log_level::info, "daemon", "leaving.");
   control_->leave();
   traffic_->set_leaving();
   const base::instant limit = clock_() + announce_time + settings_.stop_limit;
@@ -184,7 +184,7 @@
   if (open > 0) {
     events_.record("daemon", std::string(base::breach::calls_cut), {},
                    {{"calls", std::to_string(open)}});
-    log(log_level::error, "daemon", "cut " + std::to_string(open) + " calls.");
+    logging::log(logging::log_level::error, "daemon", "cut " + std::to_string(open) + " calls.");
   }
   hand_over(limit + hand_over_limit);
   traffic_.reset();
@@ -195,7 +195,7 @@
   list_io_.reset();
   datagrams_.reset();
   control_.reset();
-  log(log_level::info, "daemon", "stopped with " + std::to_string(open) + " calls open.");
+  logging::log(logging::log_level::info, "daemon", "stopped with " + std::to_string(open) + " calls open.");
   return open;
 }
 
--- a/src/catkintack/daemon/list_io.cpp
+++ b/src/catkintack/daemon/list_io.cpp
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "catkintack/config/list_document.hpp"
-#include "catkintack/daemon/log.hpp"
+#include "catkintack/logging/log.hpp"
 #include "catkintack/net/list_parcel.hpp"
 #include "catkintack/net/peer_codec.hpp"
 
@@ -71,7 +71,7 @@
 void list_io::guard_store(config::list_kind kind, const std::function<leaf::result<void>()>& call) {
   const auto failed = [this, kind](const std::string& message) {
     metrics_.add("store_calls_failed_total");
-    log(log_level::warning, "store", message);
+    logging::log(logging::log_level::warning, "store", message);
     hooks_.on_store_failed(kind);
   };
   leaf::try_handle_all([&call] { return call(); },
@@ -98,7 +98,7 @@
           return {};
         },
         [&] {
-          log(log_level::warning, "config", "fetch of lists from " + from.value() + " failed.");
+          logging::log(logging::log_level::warning, "config", "fetch of lists from " + from.value() + " failed.");
           hooks_.on_fetch_failed(from);
         });
   });
--- a/src/catkintack/daemon/platform_poller.cpp
+++ b/src/catkintack/daemon/platform_poller.cpp
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "catkintack/daemon/log.hpp"
+#include "catkintack/logging/log.hpp"
 
 namespace catkintack::daemon {
 namespace {
@@ -49,8 +49,8 @@
         hooks_.on_hosts(std::move(hosts));
         return {};
       },
-      [](const net::net_error& error) { log(log_level::warning, "host-list", error.message); },
-      [] { log(log_level::warning, "host-list", "read failed"); });
+      [](const net::net_error& error) { logging::log(logging::log_level::warning, "host-list", error.message); },
+      [] { logging::log(logging::log_level::warning, "host-list", "read failed"); });
 }
 
 }  // namespace catkintack::daemon
--- a/src/catkintack/daemon/settings_value.cpp
+++ b/src/catkintack/daemon/settings_value.cpp
@@ -118,11 +118,11 @@
 
 value_reader level_value() {
   return [](const std::string& text, settings& target) -> std::optional<std::string> {
-    static const std::vector<std::pair<std::string, log_level>> levels = {
-        {"debug", log_level::debug},
-        {"info", log_level::info},
-        {"warning", log_level::warning},
-        {"error", log_level::error}};
+    static const std::vector<std::pair<std::string, logging::log_level>> levels = {
+        {"debug", logging::log_level::debug},
+        {"info", logging::log_level::info},
+        {"warning", logging::log_level::warning},
+        {"error", logging::log_level::error}};
     for (const auto& [name, level] : levels) {
       if (text == name) {
         target.level = level;
--- /dev/null
+++ b/src/catkintack/serving/front_server.cpp
@@ -0,0 +1,177 @@
+#include "catkintack/serving/front_server.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <utility>
+
+#include "catkintack/serving/message_text.hpp"
+
+namespace catkintack::serving {
+namespace {
+
+constexpr int backlog = 1024;
+constexpr base::duration upkeep_interval = std::chrono::milliseconds(500);
+constexpr base::duration drain_interval = std::chrono::milliseconds(50);
+constexpr base::duration check_idle_limit = std::chrono::seconds(30);
+// While no descriptor is free, accepting is tried again after this.
+constexpr base::duration accept_pause = std::chrono::milliseconds(20);
+
+error_code open(asio::ip::tcp::acceptor& acceptor, const base::address& where) {
+  error_code error;
+  const auto ip = asio::ip::make_address(where.ip, error);
+  if (error) {
+    return error;
+  }
+  const asio::ip::tcp::endpoint local(ip, where.port);
+  (void)acceptor.open(local.protocol(), error);
+  if (!error) {
+    (void)acceptor.set_option(asio::socket_base::reuse_address(true), error);
+  }
+  if (!error) {
+    (void)acceptor.bind(local, error);
+  }
+  if (!error) {
+    (void)acceptor.listen(backlog, error);
+  }
+  return error;
+}
+
+asio::awaitable<void> wait_for(asio::any_io_executor executor, base::duration span) {
+  asio::steady_timer timer(executor, span);
+  co_await timer.async_wait(no_throw);
+}
+
+}  // namespace
+
+front_server::front_server(asio::io_context& io, traffic_state& state)
+    : io_(io), state_(state), callers_(io), checks_(io) {}
+
+error_code front_server::listen() {
+  if (const error_code error = open(callers_, state_.options.callers)) {
+    return error;
+  }
+  if (const error_code error = open(checks_, state_.options.readiness)) {
+    return error;
+  }
+  asio::co_spawn(io_, accept_callers(), asio::detached);
+  asio::co_spawn(io_, accept_checks(), asio::detached);
+  asio::co_spawn(io_, upkeep(), asio::detached);
+  return {};
+}
+
+asio::awaitable<void> front_server::accept_callers() {
+  while (callers_.is_open()) {
+    auto [error, socket] = co_await callers_.async_accept(no_throw);
+    if (error == asio::error::operation_aborted) {
+      co_return;
+    }
+    if (error) {
+      state_.log.write("accept_failed", {{"why", error.message()}});
+      co_await wait_for(io_.get_executor(), accept_pause);
+      continue;
+    }
+    error_code ignored;  // Only slower without it.
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    auto session = std::make_shared<caller_session>(state_, beast::tcp_stream(std::move(socket)));
+    sessions_.push_back(session);
+    asio::co_spawn(
+        io_, [session]() -> asio::awaitable<void> { co_await session->run(); }, asio::detached);
+  }
+}
+
+asio::awaitable<void> front_server::accept_checks() {
+  while (checks_.is_open()) {
+    auto [error, socket] = co_await checks_.async_accept(no_throw);
+    if (error == asio::error::operation_aborted) {
+      co_return;
+    }
+    if (error) {
+      state_.log.write("accept_failed", {{"why", error.message()}});
+      co_await wait_for(io_.get_executor(), accept_pause);
+      continue;
+    }
+    asio::co_spawn(io_, answer_checks(beast::tcp_stream(std::move(socket))), asio::detached);
+  }
+}
+
+asio::awaitable<void> front_server::answer_checks(beast::tcp_stream stream) {
+  constexpr std::string_view metrics_path = "/metrics";
+  constexpr unsigned ok = 200;
+  constexpr unsigned not_found = 404;
+  constexpr unsigned unavailable = 503;
+  beast::flat_buffer buffer;
+  for (;;) {
+    http::request<http::empty_body> asked;
+    stream.expires_after(check_idle_limit);
+    auto [error, count] = co_await http::async_read(stream, buffer, asked, no_throw);
+    if (error) {
+      co_return;
+    }
+    const std::string_view target(asked.target().data(), asked.target().size());
+    own_answer reply{.status = not_found, .sentence = "no such page\n"};
+    if (target == state_.options.readiness_path) {
+      const bool ready = state_.ready();
+      reply = {.status = ready ? ok : unavailable, .sentence = ready ? "ready\n" : "not ready\n"};
+    } else if (target == metrics_path) {
+      reply = {.status = ok, .sentence = state_.metrics.prometheus_text()};
+    }
+    const std::string text = to_text(reply, !asked.keep_alive());
+    auto [unsent, written] = co_await asio::async_write(stream, asio::buffer(text), no_throw);
+    if (unsent || !asked.keep_alive()) {
+      co_return;
+    }
+  }
+}
+
+asio::awaitable<void> front_server::upkeep() {
+  for (;;) {
+    co_await wait_for(io_.get_executor(), upkeep_interval);
+    const base::instant now = state_.clock();
+    state_.pool.expire(now);
+    for (const base::upstream_id& id : state_.upstreams.expire(now)) {
+      state_.pool.forget(id);
+      state_.suspicion.forget(id);
+      state_.log.write("upstream_expired", {{"upstream", id.value()}});
+    }
+    sessions_.remove_if([](const auto& session) { return session.expired(); });
+  }
+}
+
+void front_server::close_idle() {
+  for (const auto& weak : sessions_) {
+    const auto session = weak.lock();
+    if (session && session->idle()) {
+      session->close();
+    }
+  }
+}
+
+void front_server::stop(std::function<void(std::size_t)> stopped) {
+  if (state_.stop != stop_stage::running) {
+    return;
+  }
+  state_.stop = stop_stage::draining;
+  state_.log.write("stop_begun", {{"open_calls", state_.open_calls}});
+  asio::co_spawn(io_, drain(std::move(stopped)), asio::detached);
+}
+
+asio::awaitable<void> front_server::drain(std::function<void(std::size_t)> stopped) {
+  const base::instant began = state_.clock();
+  co_await wait_for(io_.get_executor(), state_.options.stop_accepting_after);
+  state_.stop = stop_stage::refusing;
+  error_code ignored;  // Closing is final whatever the kernel says.
+  callers_.close(ignored);
+  while (state_.clock() - began < state_.options.stop_limit) {
+    close_idle();
+    if (state_.open_calls == 0) {
+      break;
+    }
+    co_await wait_for(io_.get_executor(), drain_interval);
+  }
+  state_.log.write("stopped", {{"calls_cut", state_.open_calls}});
+  stopped(state_.open_calls);
+}
+
+}  // namespace catkintack::serving
--- /dev/null
+++ b/src/catkintack/serving/traffic_state.cpp
@@ -0,0 +1,19 @@
+#include "catkintack/serving/traffic_state.hpp"
+
+#include <utility>
+
+namespace catkintack::serving {
+
+traffic_state::traffic_state(serving_options settings,
+                             base::clock_hook clock_source,
+                             base::random_hook random_source,
+                             logging::structured_log& log_target)
+    : options(std::move(settings)),
+      clock(std::move(clock_source)),
+      random(std::move(random_source)),
+      log(log_target),
+      pool(options.idle_per_upstream, options.idle_upstream),
+      suspicion(options.suspicion),
+      repeats(options.repeats) {}
+
+}  // namespace catkintack::serving
--- a/src/programs/catkintackd.cpp
+++ b/src/programs/catkintackd.cpp
@@ -10,7 +10,7 @@
 
 #include "catkintack/base/hooks.hpp"
 #include "catkintack/daemon/daemon.hpp"
-#include "catkintack/daemon/log.hpp"
+#include "catkintack/logging/log.hpp"
 #include "catkintack/daemon/settings.hpp"
 
 namespace {
@@ -47,7 +47,7 @@
     return exit_ok;
   }
   const incarnation run = new_incarnation();
-  catkintack::daemon::configure_log(read.level, read.host, run);
+  catkintack::logging::configure_log(read.level, read.host, run);
   const sigset_t signals = stop_signals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
