--- a/include/catkintack/control/peer_exchange.hpp
+++ b/include/catkintack/control/peer_exchange.hpp
@@ -11,6 +11,7 @@
 #include "catkintack/base/address.hpp"
 #include "catkintack/control/knowledge_snapshot.hpp"
 #include "catkintack/serving/io.hpp"
+#include "catkintack/serving/listener.hpp"
 
 namespace catkintack::control {
 
@@ -22,19 +23,24 @@
   /// Gives the knowledge to hand out.
   using source = std::function<knowledge_snapshot()>;
 
-  peer_server(boost::asio::io_context& io, source knowledge);
+  /// @param io Runs it.
+  /// @param knowledge What is handed out.
+  /// @param on_error Hears of connections that could not be accepted.
+  peer_server(boost::asio::io_context& io,
+              source knowledge,
+              serving::listener::error_hook on_error);
 
   /// @brief Begins to listen.
   /// @return The error if the address cannot be used.
   boost::system::error_code listen(const base::address& where);
 
  private:
-  boost::asio::awaitable<void> accept_all();
   boost::asio::awaitable<void> serve(boost::beast::tcp_stream stream);
 
   boost::asio::io_context& io_;
   source knowledge_;
-  boost::asio::ip::tcp::acceptor acceptor_;
+  serving::listener::error_hook on_error_;
+  serving::listener listener_;
 };
 
 /// @brief Asks one host.
--- a/include/catkintack/limits/repeat_allowance.hpp
+++ b/include/catkintack/limits/repeat_allowance.hpp
@@ -12,8 +12,8 @@
 /// @brief The fleet's bound: in any window a service gets at most `ratio` times its requests plus
 /// `slack` sends beyond the first of each request.
 struct repeat_allowance_options {
-  double ratio = 0.2;                              ///< Repeats per request.
-  double slack = 50;                               ///< Repeats of all hosts in one window.
+  double ratio = 0.2;                                ///< Repeats per request.
+  double slack = 50;                                 ///< Repeats of all hosts in one window.
   base::duration window = std::chrono::seconds(10);  ///< Length of the window.
 };
 
--- a/include/catkintack/serving/front_server.hpp
+++ b/include/catkintack/serving/front_server.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 
 #include "catkintack/serving/caller_session.hpp"
+#include "catkintack/serving/listener.hpp"
 #include "catkintack/serving/traffic_state.hpp"
 
 namespace catkintack::serving {
@@ -30,8 +31,7 @@
   void stop(std::function<void(std::size_t)> stopped);
 
  private:
-  asio::awaitable<void> accept_callers();
-  asio::awaitable<void> accept_checks();
+  void serve_caller(asio::ip::tcp::socket socket);
   asio::awaitable<void> answer_checks(beast::tcp_stream stream);
   asio::awaitable<void> upkeep();
   asio::awaitable<void> drain(std::function<void(std::size_t)> stopped);
@@ -39,8 +39,8 @@
 
   asio::io_context& io_;
   traffic_state& state_;
-  asio::ip::tcp::acceptor callers_;
-  asio::ip::tcp::acceptor checks_;
+  listener callers_;
+  listener checks_;
   std::list<std::weak_ptr<caller_session>> sessions_;
 };
 
--- a/src/catkintack/control/peer_exchange.cpp
+++ b/src/catkintack/control/peer_exchange.cpp
@@ -26,7 +26,6 @@
 // Far above a table of thousands of routes and upstreams.
 constexpr std::size_t most_bytes = 8U << 20U;
 constexpr base::duration serve_limit = std::chrono::seconds(3);
-constexpr int backlog = 256;
 
 template <class Message>
 std::string encode(const Message& message) {
@@ -84,41 +83,18 @@
 
 }  // namespace
 
-peer_server::peer_server(asio::io_context& io, source knowledge)
-    : io_(io), knowledge_(std::move(knowledge)), acceptor_(io) {}
+peer_server::peer_server(asio::io_context& io,
+                         source knowledge,
+                         serving::listener::error_hook on_error)
+    : io_(io), knowledge_(std::move(knowledge)), on_error_(std::move(on_error)), listener_(io) {}
 
 error_code peer_server::listen(const base::address& where) {
-  error_code error;
-  const auto ip = asio::ip::make_address(where.ip, error);
-  const asio::ip::tcp::endpoint local(ip, where.port);
-  if (!error) {
-    (void)acceptor_.open(local.protocol(), error);
-  }
-  if (!error) {
-    (void)acceptor_.set_option(asio::socket_base::reuse_address(true), error);
-  }
-  if (!error) {
-    (void)acceptor_.bind(local, error);
-  }
-  if (!error) {
-    (void)acceptor_.listen(backlog, error);
-  }
-  if (!error) {
-    asio::co_spawn(io_, accept_all(), asio::detached);
-  }
-  return error;
-}
-
-asio::awaitable<void> peer_server::accept_all() {
-  for (;;) {
-    auto [error, socket] = co_await acceptor_.async_accept(no_throw);
-    if (error == asio::error::operation_aborted) {
-      co_return;
-    }
-    if (!error) {
-      asio::co_spawn(io_, serve(beast::tcp_stream(std::move(socket))), asio::detached);
-    }
-  }
+  return listener_.listen(
+      where,
+      [this](asio::ip::tcp::socket socket) {
+        asio::co_spawn(io_, serve(beast::tcp_stream(std::move(socket))), asio::detached);
+      },
+      on_error_);
 }
 
 asio::awaitable<void> peer_server::serve(beast::tcp_stream stream) {
--- a/src/catkintack/control/peer_exchange_test.cpp
+++ b/src/catkintack/control/peer_exchange_test.cpp
@@ -33,7 +33,7 @@
 std::optional<knowledge_snapshot> ask(std::uint64_t known) {
   asio::io_context io;
   const base::address where = free_address();
-  peer_server server(io, make_snapshot);
+  peer_server server(io, make_snapshot, [](const auto&) {});
   EXPECT_FALSE(server.listen(where));
   std::optional<knowledge_snapshot> result;
   asio::co_spawn(io, ask_peer(io.get_executor(), where, {known}, std::chrono::seconds(10)),
--- a/src/catkintack/serving/front_server.cpp
+++ b/src/catkintack/serving/front_server.cpp
@@ -11,35 +11,11 @@
 namespace catkintack::serving {
 namespace {
 
-constexpr int backlog = 1024;
 constexpr base::duration upkeep_interval = std::chrono::milliseconds(500);
 constexpr base::duration drain_interval = std::chrono::milliseconds(50);
 constexpr base::duration check_idle_limit = std::chrono::seconds(30);
-// While no descriptor is free, accepting is tried again after this.
-constexpr base::duration accept_pause = std::chrono::milliseconds(20);
-
-error_code open(asio::ip::tcp::acceptor& acceptor, const base::address& where) {
-  error_code error;
-  const auto ip = asio::ip::make_address(where.ip, error);
-  if (error) {
-    return error;
-  }
-  const asio::ip::tcp::endpoint local(ip, where.port);
-  (void)acceptor.open(local.protocol(), error);
-  if (!error) {
-    (void)acceptor.set_option(asio::socket_base::reuse_address(true), error);
-  }
-  if (!error) {
-    (void)acceptor.bind(local, error);
-  }
-  if (!error) {
-    (void)acceptor.listen(backlog, error);
-  }
-  return error;
-}
-
-asio::awaitable<void> wait_for(asio::any_io_executor executor, base::duration span) {
-  asio::steady_timer timer(std::move(executor), span);
+asio::awaitable<void> wait_for(asio::io_context& io, base::duration span) {
+  asio::steady_timer timer(io, span);
   co_await timer.async_wait(no_throw);
 }
 
@@ -49,51 +25,30 @@
     : io_(io), state_(state), callers_(io), checks_(io) {}
 
 error_code front_server::listen() {
-  if (const error_code error = open(callers_, state_.options.callers)) {
+  const auto on_error = [this](const error_code& error) {
+    state_.log.write("accept_failed", {{"why", error.message()}});
+  };
+  const auto serve = [this](asio::ip::tcp::socket socket) { serve_caller(std::move(socket)); };
+  if (const error_code error = callers_.listen(state_.options.callers, serve, on_error)) {
     return error;
   }
-  if (const error_code error = open(checks_, state_.options.readiness)) {
+  const auto check = [this](asio::ip::tcp::socket socket) {
+    asio::co_spawn(io_, answer_checks(beast::tcp_stream(std::move(socket))), asio::detached);
+  };
+  if (const error_code error = checks_.listen(state_.options.readiness, check, on_error)) {
     return error;
   }
-  asio::co_spawn(io_, accept_callers(), asio::detached);
-  asio::co_spawn(io_, accept_checks(), asio::detached);
   asio::co_spawn(io_, upkeep(), asio::detached);
   return {};
 }
 
-asio::awaitable<void> front_server::accept_callers() {
-  while (callers_.is_open()) {
-    auto [error, socket] = co_await callers_.async_accept(no_throw);
-    if (error == asio::error::operation_aborted) {
-      co_return;
-    }
-    if (error) {
-      state_.log.write("accept_failed", {{"why", error.message()}});
-      co_await wait_for(io_.get_executor(), accept_pause);
-      continue;
-    }
-    error_code ignored;  // Only slower without it.
-    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    auto session = std::make_shared<caller_session>(state_, beast::tcp_stream(std::move(socket)));
-    sessions_.push_back(session);
-    asio::co_spawn(
-        io_, [session]() -> asio::awaitable<void> { co_await session->run(); }, asio::detached);
-  }
-}
-
-asio::awaitable<void> front_server::accept_checks() {
-  while (checks_.is_open()) {
-    auto [error, socket] = co_await checks_.async_accept(no_throw);
-    if (error == asio::error::operation_aborted) {
-      co_return;
-    }
-    if (error) {
-      state_.log.write("accept_failed", {{"why", error.message()}});
-      co_await wait_for(io_.get_executor(), accept_pause);
-      continue;
-    }
-    asio::co_spawn(io_, answer_checks(beast::tcp_stream(std::move(socket))), asio::detached);
-  }
+void front_server::serve_caller(asio::ip::tcp::socket socket) {
+  error_code ignored;  // Only slower without it.
+  socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  auto session = std::make_shared<caller_session>(state_, beast::tcp_stream(std::move(socket)));
+  sessions_.push_back(session);
+  asio::co_spawn(
+      io_, [session]() -> asio::awaitable<void> { co_await session->run(); }, asio::detached);
 }
 
 asio::awaitable<void> front_server::answer_checks(beast::tcp_stream stream) {
@@ -127,7 +82,7 @@
 
 asio::awaitable<void> front_server::upkeep() {
   for (;;) {
-    co_await wait_for(io_.get_executor(), upkeep_interval);
+    co_await wait_for(io_, upkeep_interval);
     const base::instant now = state_.clock();
     state_.pool.expire(now);
     for (const base::upstream_id& id : state_.upstreams.expire(now)) {
@@ -159,16 +114,15 @@
 
 asio::awaitable<void> front_server::drain(std::function<void(std::size_t)> stopped) {
   const base::instant began = state_.clock();
-  co_await wait_for(io_.get_executor(), state_.options.stop_accepting_after);
+  co_await wait_for(io_, state_.options.stop_accepting_after);
   state_.stop = stop_stage::refusing;
-  error_code ignored;  // Closing is final whatever the kernel says.
-  callers_.close(ignored);
+  callers_.close();
   while (state_.clock() - began < state_.options.stop_limit) {
     close_idle();
     if (state_.open_calls == 0) {
       break;
     }
-    co_await wait_for(io_.get_executor(), drain_interval);
+    co_await wait_for(io_, drain_interval);
   }
   state_.log.write("stopped", {{"calls_cut", state_.open_calls}});
   stopped(state_.open_calls);
--- /dev/null
+++ b/src/catkintack/serving/listener.cpp
@@ -0,0 +1,65 @@
+#include "catkintack/serving/listener.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <utility>
+
+namespace catkintack::serving {
+namespace {
+
+// Connections of a burst that wait to be accepted.
+constexpr int backlog = 1024;
+// While no descriptor is free, accepting is tried again after this.
+constexpr base::duration accept_pause = std::chrono::milliseconds(20);
+
+}  // namespace
+
+error_code listener::listen(const base::address& where,
+                            connection_hook on_connection,
+                            error_hook on_error) {
+  error_code error;
+  const auto ip = asio::ip::make_address(where.ip, error);
+  if (error) {
+    return error;
+  }
+  const asio::ip::tcp::endpoint local(ip, where.port);
+  (void)acceptor_.open(local.protocol(), error);
+  if (!error) {
+    (void)acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+  }
+  if (!error) {
+    (void)acceptor_.bind(local, error);
+  }
+  if (!error) {
+    (void)acceptor_.listen(backlog, error);
+  }
+  if (!error) {
+    asio::co_spawn(io_, accept_all(std::move(on_connection), std::move(on_error)), asio::detached);
+  }
+  return error;
+}
+
+void listener::close() {
+  error_code ignored;  // Closing is final whatever the kernel says.
+  acceptor_.close(ignored);
+}
+
+asio::awaitable<void> listener::accept_all(connection_hook on_connection, error_hook on_error) {
+  asio::steady_timer pause(io_);
+  while (acceptor_.is_open()) {
+    auto [error, socket] = co_await acceptor_.async_accept(no_throw);
+    if (error == asio::error::operation_aborted) {
+      co_return;
+    }
+    if (error) {
+      on_error(error);
+      pause.expires_after(accept_pause);
+      co_await pause.async_wait(no_throw);
+      continue;
+    }
+    on_connection(std::move(socket));
+  }
+}
+
+}  // namespace catkintack::serving
--- a/src/programs/catkintackd.cpp
+++ b/src/programs/catkintackd.cpp
@@ -10,8 +10,8 @@
 
 #include "catkintack/base/hooks.hpp"
 #include "catkintack/daemon/daemon.hpp"
-#include "catkintack/logging/log.hpp"
 #include "catkintack/daemon/settings.hpp"
+#include "catkintack/logging/log.hpp"
 
 namespace {
 
