--- a/src/catkintack/serving/serving_bytes_test.cpp
+++ b/src/catkintack/serving/serving_bytes_test.cpp
@@ -51,7 +51,7 @@
 std::string to_text(const drawn_request& drawn) {
   std::string text = "POST " + drawn.target + " HTTP/1.1\r\nHost: a.example\r\n";
   for (const auto& [name, value] : drawn.headers) {
-    text += name + ": " + value + "\r\n";
+    text.append(name).append(": ").append(value).append("\r\n");
   }
   if (!drawn.chunked) {
     return text + "Content-Length: " + std::to_string(drawn.body.size()) + "\r\n\r\n" + drawn.body;
