--- a/src/catkintack/limits/repeat_allowance_test.cpp
+++ b/src/catkintack/limits/repeat_allowance_test.cpp
@@ -55,7 +55,7 @@
 
 RC_GTEST_PROP(retry_storm, fleet_stays_within_the_budget_whatever_restarts, ()) {
   const repeat_allowance_options options{.ratio = 0.2, .slack = 58, .window = seconds(10)};
-  const auto hosts = *rc::gen::inRange<std::size_t>(1, 17);
+  const auto hosts = *rc::gen::inRange<std::size_t>(1, 18);
   std::vector<std::unique_ptr<repeat_allowance>> fleet;
   for (std::size_t i = 0; i < hosts; ++i) {
     fleet.push_back(std::make_unique<repeat_allowance>(options));
