Watch the store by the seeds and publish changes to all; ask near upstreams first

Change: the seeds watch; every host follows two publishers over TCP (control/feed_*), is brought up to date in steps, knows the age of what it knows, and watches by itself when no publisher informs it. Tables of many routes are only announced. A host turns to the upstreams of its own failure domain first (choice/neighbourhood), then to a ring of the region, then to other regions.

--- a/include/catkintack/choice/placement.hpp
+++ b/include/catkintack/choice/placement.hpp
@@ -31,7 +31,7 @@
 /// @brief What to do with a call.
 enum class placement_action : std::uint8_t {
   send,          ///< Send it to the chosen upstream.
-  look_further,  ///< Probe the other regions too.
+  look_further,  ///< Probe the candidates of the next wider scope too.
   wait,          ///< Probe again after a pause.
   refuse         ///< Answer "not run" at once.
 };
@@ -44,15 +44,22 @@
   base::duration pause{};  ///< For wait the time to the next probes, for refuse Retry-After.
 };
 
+/// @brief How far a search for an upstream has come.
+enum class search_scope : std::uint8_t {
+  neighbourhood,  ///< There are more candidates in the region.
+  region,         ///< There may be more in other regions.
+  everywhere
+};
+
 /// @brief Decides one call.
-/// @param probed Candidates of this region, and of others once they were probed.
-/// @param looked_everywhere Whether candidates of other regions are among them, or there are none.
+/// @param probed Candidates of the scope.
+/// @param scope Where they are from.
 /// @param need The call.
 /// @param options Limits.
 /// @param random Spreads Retry-After, so that refused callers do not return together.
 /// @return The decision.
 placement place_call(const std::vector<candidate>& probed,
-                     bool looked_everywhere,
+                     search_scope scope,
                      const call_need& need,
                      const placement_options& options,
                      const base::random_hook& random);
--- a/include/catkintack/control/host_settings.hpp
+++ b/include/catkintack/control/host_settings.hpp
@@ -27,6 +27,7 @@
   double repeat_slack = 50;          ///< Repeats of all hosts in one window.
   base::duration repeat_window = std::chrono::seconds(10);
   double probes_per_call = 4;         ///< Upstreams probed at once for one call.
+  double neighbours = 5;              ///< Upstreams of a service that are asked first.
   double remote_probes_per_call = 2;  ///< The same of other regions; their bytes are paid.
   base::duration probe_pause = std::chrono::milliseconds(12);  ///< Between probes of a held call.
   double hold_share = 0.125;  ///< Part of its objective that a call may be held while all are busy.
--- a/include/catkintack/control/knowledge_snapshot.hpp
+++ b/include/catkintack/control/knowledge_snapshot.hpp
@@ -15,24 +15,15 @@
 /// @brief A host's knowledge with its version.
 struct knowledge_snapshot {
   std::uint64_t revision = 0;  ///< The registry's revision that it reflects.
-  std::optional<routes::route_table> table;
-  std::vector<directory::endpoint> upstreams;
+  std::optional<routes::route_table> table{};
+  /// Version of a table that is too large to be told; it is to be read from the registry. 0: none.
+  std::uint64_t newer_table = 0;
+  std::vector<directory::endpoint> upstreams{};
 
   /// @brief Serializes with cereal.
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(revision, table, upstreams);
-  }
-};
-
-/// @brief What a host asks another for.
-struct knowledge_query {
-  std::uint64_t known_revision = 0;  ///< Nothing older or equal is wanted.
-
-  /// @brief Serializes with cereal.
-  template <class Archive>
-  void serialize(Archive& archive) {
-    archive(known_revision);
+    archive(revision, table, newer_table, upstreams);
   }
 };
 
--- a/include/catkintack/serving/serving_options.hpp
+++ b/include/catkintack/serving/serving_options.hpp
@@ -19,6 +19,7 @@
   base::address callers;    ///< Where callers connect.
   base::address readiness;  ///< Where the balancer asks, and where metrics are.
   std::string readiness_path = "/readyz";
+  base::host_id host;
   base::region_id region;
   base::failure_domain_id failure_domain;
   upstream_protocol protocol;
@@ -27,6 +28,9 @@
   limits::repeat_allowance_options repeats;
 
   std::size_t probes_per_call = 4;  ///< More gained nothing in trials on four upstreams a region.
+  /// Upstreams of a service that are asked first, of the own failure domain. At a call a second and
+  /// service each is asked often enough to keep its connection from idling out.
+  std::size_t neighbours = 5;
   std::size_t remote_probes_per_call = 2;  ///< Of other regions; their bytes are paid by volume.
   /// Bytes between regions that this host may cause each second, and at once; they are paid by
   /// volume. About fifteen calls a second of 2 KB, the load of one of today's hosts.
--- a/src/catkintack/choice/placement.cpp
+++ b/src/catkintack/choice/placement.cpp
@@ -55,7 +55,7 @@
 }  // namespace
 
 placement place_call(const std::vector<candidate>& probed,
-                     bool looked_everywhere,
+                     search_scope scope,
                      const call_need& need,
                      const placement_options& options,
                      const base::random_hook& random) {
@@ -68,7 +68,11 @@
   const bool timely_chance = need.objective_left > need.work.usual;
   const bool worth_bytes =
       timely_chance && need.may_leave_region && need.remote_bytes <= options.remote_byte_limit;
-  if (!good && !looked_everywhere && (!best || worth_bytes)) {
+  if (scope == search_scope::neighbourhood && (!good || best->expected.waits)) {
+    result.action = placement_action::look_further;
+    return result;
+  }
+  if (!good && scope == search_scope::region && (!best || worth_bytes)) {
     result.action = placement_action::look_further;
     return result;
   }
--- a/src/catkintack/choice/placement_test.cpp
+++ b/src/catkintack/choice/placement_test.cpp
@@ -28,9 +28,9 @@
 
 placement decide(const std::vector<candidate>& probed,
                  const call_need& need,
-                 bool everywhere = true,
+                 search_scope scope = search_scope::everywhere,
                  const placement_options& options = {}) {
-  return place_call(probed, everywhere, need, options, no_spread);
+  return place_call(probed, scope, need, options, no_spread);
 }
 
 TEST(noisy_neighbour, idle_upstream_on_a_slow_machine_loses_to_a_busier_one_on_a_quick_machine) {
@@ -43,28 +43,44 @@
 TEST(noisy_neighbour, call_waits_for_a_quick_machine_while_it_may_be_held) {
   call_need need = usual_need();
   const std::vector<candidate> all_slow = {make("a", {0, 0, 2, 4.0}), make("b", {0, 0, 2, 4.0})};
-  EXPECT_EQ(decide(all_slow, need, true).action, placement_action::wait);
+  EXPECT_EQ(decide(all_slow, need, search_scope::everywhere).action, placement_action::wait);
   need.held = milliseconds(70);
-  EXPECT_EQ(decide(all_slow, need, true).action, placement_action::send);
+  EXPECT_EQ(decide(all_slow, need, search_scope::everywhere).action, placement_action::send);
 }
 
 TEST(burst_on_one_region, call_leaves_the_region_only_if_its_bytes_are_few_and_paid_for) {
   call_need need = usual_need();
   const std::vector<candidate> full = {make("a", {2, 3, 2, 1.0})};
-  EXPECT_EQ(decide(full, need, false).action, placement_action::look_further);
+  EXPECT_EQ(decide(full, need, search_scope::region).action, placement_action::look_further);
   need.may_leave_region = false;
-  EXPECT_EQ(decide(full, need, false).action, placement_action::wait);
+  EXPECT_EQ(decide(full, need, search_scope::region).action, placement_action::wait);
   need.may_leave_region = true;
   need.remote_bytes = 20000;
-  EXPECT_EQ(decide(full, need, false).action, placement_action::wait);
+  EXPECT_EQ(decide(full, need, search_scope::region).action, placement_action::wait);
   need.held = milliseconds(70);
-  EXPECT_EQ(decide(full, need, false).action, placement_action::refuse);
+  EXPECT_EQ(decide(full, need, search_scope::region).action, placement_action::refuse);
+}
+
+TEST(burst_on_one_failure_domain, call_looks_beyond_its_neighbourhood_before_it_queues) {
+  const call_need need = usual_need();
+  const std::vector<candidate> busy = {make("a", {2, 0, 2, 1.0})};
+  EXPECT_EQ(decide(busy, need, search_scope::neighbourhood).action, placement_action::look_further);
+  EXPECT_EQ(decide(busy, need, search_scope::region).action, placement_action::send);
+  const std::vector<candidate> idle = {make("a", {1, 0, 2, 1.0})};
+  EXPECT_EQ(decide(idle, need, search_scope::neighbourhood).action, placement_action::send);
+}
+
+TEST(burst_on_one_failure_domain, neighbourhood_without_answers_refuses_nothing) {
+  call_need need = usual_need();
+  need.may_leave_region = false;
+  EXPECT_EQ(decide({}, need, search_scope::neighbourhood).action, placement_action::look_further);
 }
 
 TEST(short_queue, call_that_is_still_in_time_is_not_sent_away) {
   call_need need = usual_need();
   need.objective_left = milliseconds(900);
-  EXPECT_EQ(decide({make("a", {2, 0, 2, 1.0})}, need, false).action, placement_action::send);
+  EXPECT_EQ(decide({make("a", {2, 0, 2, 1.0})}, need, search_scope::region).action,
+            placement_action::send);
 }
 
 TEST(burst_on_one_region, free_upstream_of_another_region_takes_the_call) {
@@ -79,7 +95,8 @@
   call_need need = usual_need();
   need.held = milliseconds(75);
   const std::vector<candidate> busy = {make("a", {2, 1, 2, 1.0})};
-  EXPECT_EQ(decide(busy, need, true, {.queue_new_calls = true}).action, placement_action::send);
+  EXPECT_EQ(decide(busy, need, search_scope::everywhere, {.queue_new_calls = true}).action,
+            placement_action::send);
   const placement result = decide(busy, need);
   EXPECT_EQ(result.action, placement_action::refuse);
   EXPECT_GT(result.pause, base::duration::zero());
@@ -103,8 +120,10 @@
   call_need need = usual_need();
   need.held = milliseconds(75);
   const placement_options strict{.queue_new_calls = false};
-  const auto short_queue = decide({make("a", {2, 1, 2, 1.0})}, need, true, strict);
-  const auto long_queue = decide({make("a", {2, 4, 2, 4.0})}, need, true, strict);
+  const auto short_queue =
+      decide({make("a", {2, 1, 2, 1.0})}, need, search_scope::everywhere, strict);
+  const auto long_queue =
+      decide({make("a", {2, 4, 2, 4.0})}, need, search_scope::everywhere, strict);
   EXPECT_GT(long_queue.pause, short_queue.pause);
 }
 
@@ -123,7 +142,8 @@
 TEST(all_probes_lost, call_is_refused_after_looking_everywhere) {
   candidate silent;
   silent.id = base::upstream_id("a");
-  EXPECT_EQ(decide({silent}, usual_need(), false).action, placement_action::look_further);
+  EXPECT_EQ(decide({silent}, usual_need(), search_scope::region).action,
+            placement_action::look_further);
   call_need need = usual_need();
   need.held = milliseconds(75);
   EXPECT_EQ(decide({silent}, need).action, placement_action::refuse);
@@ -146,7 +166,10 @@
   need.returned = *rc::gen::arbitrary<bool>();
   need.held = milliseconds(*rc::gen::inRange(0, 100));
   need.objective_left = milliseconds(*rc::gen::inRange(-500, 600));
-  const placement result = decide(probed, need, *rc::gen::arbitrary<bool>());
+  const placement result =
+      decide(probed, need,
+             *rc::gen::element(search_scope::neighbourhood, search_scope::region,
+                               search_scope::everywhere));
   if (result.action == placement_action::send) {
     const auto chosen = std::find_if(probed.begin(), probed.end(),
                                      [&](const auto& one) { return one.id == *result.target; });
--- a/src/catkintack/control/knowledge_keeper.cpp
+++ b/src/catkintack/control/knowledge_keeper.cpp
@@ -10,7 +10,7 @@
 knowledge_keeper::knowledge_keeper(serving::traffic_state& state, keeper_options options)
     : state_(state), options_(options) {}
 
-void knowledge_keeper::adopt(routes::route_table table, std::string_view source) {
+void knowledge_keeper::adopt_table(routes::route_table table, std::string_view source) {
   const std::uint64_t current = state_.table ? state_.table->version().value() : 0;
   const std::uint64_t offered = table.version().value();
   if (offered <= current) {
@@ -24,6 +24,10 @@
   state_.metrics.set("routes_version", static_cast<double>(offered));
 }
 
+bool knowledge_keeper::lacks_table() const {
+  return newest_table_ > (state_.table ? state_.table->version().value() : 0);
+}
+
 void knowledge_keeper::put(const directory::endpoint& upstream, std::string_view source) {
   if (state_.upstreams.put(upstream, state_.clock())) {
     state_.log.write("upstream_changed", {{"upstream", upstream.record.id.value()},
@@ -48,21 +52,53 @@
   state_.log.write("upstream_removed", {{"upstream", id.value()}, {"source", std::string(source)}});
 }
 
-void knowledge_keeper::replace_all(const std::vector<directory::endpoint>& listed,
-                                   std::string_view source) {
-  state_.upstreams.replace_all(listed, state_.clock(), keep_missing_until());
-  state_.log.write("upstreams_listed", {{"count", listed.size()}, {"source", std::string(source)}});
+void knowledge_keeper::changed() const {
+  if (on_change_) {
+    on_change_();
+  }
 }
 
-void knowledge_keeper::adopt(knowledge_snapshot snapshot, std::string_view source) {
-  if (snapshot.revision <= revision_) {
-    return;
+bool knowledge_keeper::apply(const change_batch& batch, std::string_view source) {
+  if (batch.after > revision_) {
+    return false;
+  }
+  newest_table_ = std::max(newest_table_, batch.newer_table);
+  if (batch.table && (batch.revision > revision_ || lacks_table())) {
+    adopt_table(*batch.table, source);
+  }
+  if (batch.revision <= revision_) {
+    return true;
+  }
+  for (const directory::endpoint& upstream : batch.changed) {
+    put(upstream, source);
+  }
+  for (const base::upstream_id& id : batch.removed) {
+    remove(id, source);
+  }
+  revision_ = batch.revision;
+  changes_.add(batch);
+  if (!batch.empty()) {
+    changed();
   }
-  if (snapshot.table) {
-    adopt(std::move(*snapshot.table), source);
+  return true;
+}
+
+bool knowledge_keeper::adopt(knowledge_snapshot snapshot, std::string_view source) {
+  newest_table_ = std::max(newest_table_, snapshot.newer_table);
+  if (snapshot.table && (snapshot.revision > revision_ || lacks_table())) {
+    adopt_table(std::move(*snapshot.table), source);
   }
-  replace_all(snapshot.upstreams, source);
-  advance(snapshot.revision);
+  if (snapshot.revision <= revision_) {
+    return false;
+  }
+  state_.upstreams.replace_all(snapshot.upstreams, state_.clock(), keep_missing_until());
+  state_.log.write("upstreams_listed", {{"count", snapshot.upstreams.size()},
+                                        {"revision", snapshot.revision},
+                                        {"source", std::string(source)}});
+  revision_ = snapshot.revision;
+  changes_.restart(revision_);
+  changed();
+  return true;
 }
 
 void knowledge_keeper::on_registry_lost(std::string_view why) {
@@ -73,16 +109,33 @@
   reached_ = false;
 }
 
-void knowledge_keeper::on_registry_reached() {
+void knowledge_keeper::on_registry_reached(base::instant confirmed, std::string_view source) {
+  confirmed_ = std::max(confirmed_, confirmed);
   if (!reached_) {
     returned_ = state_.clock();
-    state_.log.write("registry_reached", {{"revision", revision_}});
+    state_.log.write("registry_reached",
+                     {{"revision", revision_}, {"source", std::string(source)}});
   }
   reached_ = true;
 }
 
-void knowledge_keeper::advance(std::uint64_t revision) {
-  revision_ = std::max(revision_, revision);
+void knowledge_keeper::watching(bool stands) {
+  if (watching_ == stands) {
+    return;
+  }
+  watching_ = stands;
+  if (!stands) {
+    changed();
+  }
+}
+
+base::duration knowledge_keeper::age() const {
+  // Never confirmed counts as a long time ago.
+  constexpr base::duration unconfirmed = std::chrono::hours(24);
+  if (watching_) {
+    return base::duration::zero();
+  }
+  return confirmed_ == base::instant::min() ? unconfirmed : state_.clock() - confirmed_;
 }
 
 knowledge_snapshot knowledge_keeper::snapshot() const {
--- a/src/catkintack/control/read_host_settings.cpp
+++ b/src/catkintack/control/read_host_settings.cpp
@@ -110,6 +110,7 @@
       {"repeats.slack", false, number_value(&host_settings::repeat_slack)},
       {"repeats.window", false, span_value(&host_settings::repeat_window)},
       {"probes.per_call", false, number_value(&host_settings::probes_per_call)},
+      {"probes.neighbours", false, number_value(&host_settings::neighbours)},
       {"probes.remote_per_call", false, number_value(&host_settings::remote_probes_per_call)},
       {"probes.pause", false, span_value(&host_settings::probe_pause)},
       {"calls.hold_share", false, number_value(&host_settings::hold_share)},
--- a/src/catkintack/serving/upstream_selection.cpp
+++ b/src/catkintack/serving/upstream_selection.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "catkintack/choice/neighbourhood.hpp"
 #include "catkintack/choice/probe_plan.hpp"
 #include "catkintack/serving/probe_round.hpp"
 
@@ -11,6 +12,7 @@
 
 using choice::candidate;
 using choice::distance;
+using choice::search_scope;
 
 // A probe and its answer, with their headers.
 constexpr std::uint64_t probe_bytes = 350;
@@ -129,11 +131,18 @@
   asio::awaitable<void> look_around() {
     round_ = std::make_shared<probe_round>(state_, executor_);
     own_counts_.clear();
-    co_await look(false);
-    const bool further =
-        result.decision.action == choice::placement_action::look_further && !served_.caller_left;
-    if (further) {
-      co_await look(true);
+    auto in_region = gather(state_, service_, tried_, false);
+    auto region = choice::split_neighbourhood(std::move(in_region), state_.options.host,
+                                              state_.options.neighbours);
+    const bool split = !region.rest.empty();
+    co_await look(std::move(region.near),
+                  split ? search_scope::neighbourhood : search_scope::region);
+    if (split && looks_further()) {
+      co_await look(std::move(region.rest), search_scope::region);
+    }
+    if (looks_further()) {
+      auto remote = gather(state_, service_, tried_, true);
+      co_await look(std::move(remote), search_scope::everywhere);
     }
   }
 
@@ -161,8 +170,12 @@
  private:
   const std::vector<candidate>& found() const { return blind_ ? own_counts_ : round_->found(); }
 
-  asio::awaitable<void> look(bool other_regions) {
-    auto candidates = gather(state_, service_, tried_, other_regions);
+  bool looks_further() const {
+    return result.decision.action == choice::placement_action::look_further && !served_.caller_left;
+  }
+
+  asio::awaitable<void> look(std::vector<candidate> candidates, search_scope scope) {
+    const bool other_regions = scope == search_scope::everywhere;
     if (blind_) {
       read_own_counts(state_, candidates);
       own_counts_.insert(own_counts_.end(), candidates.begin(), candidates.end());
@@ -176,7 +189,7 @@
       }
       co_await round_->run(std::move(planned), health_path_);
     }
-    result.decision = choice::place_call(found(), other_regions, need_of(state_, served_, began_),
+    result.decision = choice::place_call(found(), scope, need_of(state_, served_, began_),
                                          state_.options.placement, state_.random);
     result.considered = describe(found());
   }
