--- a/src/catkintack/choice/neighbourhood_test.cpp
+++ b/src/catkintack/choice/neighbourhood_test.cpp
@@ -12,6 +12,7 @@
 
 std::vector<candidate> region_of(int count, int own_domain) {
   std::vector<candidate> result;
+  result.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     result.push_back(
         {.id = base::upstream_id("u" + std::to_string(i)),
