--- a/include/catkintack/control/feed_server.hpp
+++ b/include/catkintack/control/feed_server.hpp
@@ -17,9 +17,8 @@
 
 /// @brief Limits of a publisher.
 struct feed_server_options {
-  /// Subscribers at once; further hosts are sent on to these. A region of 130 hosts with three
-  /// seeds needs one tier, and two messages a second to each take a hundredth of a small host's
-  /// core.
+  /// Subscribers at once; further hosts are sent on to these. A region of 60 hosts with a seed in
+  /// it needs one tier; each tier more makes knowledge older.
   std::size_t most_subscribers = 64;
   /// Subscribers in each other region, beside those that watch the registry themselves; they
   /// tell the rest there, as bytes between regions are paid by volume.
@@ -27,7 +26,7 @@
   /// Between messages when nothing changes.
   base::duration beat = std::chrono::milliseconds(500);
   /// Tables of more routes are only announced, and read from the registry by subscribers: each is
-  /// about 150 bytes, and the link of a small host would carry them 16 times.
+  /// about 150 bytes, and the link of a small host would carry them to each subscriber.
   std::size_t large_routes = 200;
   base::duration send_limit = std::chrono::seconds(3);  ///< A host that reads no more is dropped.
 };
