--- a/include/catkintack/control/feed_follower.hpp
+++ b/include/catkintack/control/feed_follower.hpp
@@ -74,7 +74,6 @@
   std::string subscription() const;
   bool take(feed_slot& place, feed_message message, std::string& why);
   base::address choose(feed_slot& place);
-  base::duration pause_after(const feed_slot& place);
   void leave(feed_slot& place, const std::string& why);
   void note_informed();
 
--- a/src/catkintack/control/feed_follower.cpp
+++ b/src/catkintack/control/feed_follower.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "catkintack/control/message_channel.hpp"
+#include "catkintack/control/retry_pause.hpp"
 
 namespace catkintack::control {
 namespace {
@@ -88,16 +89,6 @@
   return result;
 }
 
-base::duration feed_follower::pause_after(const feed_slot& place) {
-  constexpr unsigned most_doublings = 4;
-  const base::duration span =
-      std::min(options_.first_pause * (1U << std::min(place.failures, most_doublings)),
-               options_.longest_pause);
-  // Half of the pause is random, so that hosts do not come together.
-  const auto jitter = state_.random() % static_cast<std::uint64_t>(span.count() / 2 + 1);
-  return span / 2 + base::duration(static_cast<base::duration::rep>(jitter));
-}
-
 bool feed_follower::take(feed_slot& place, feed_message message, std::string& why) {
   const std::string source = base::to_string(place.publisher);
   for (const change_batch& batch : message.batches) {
@@ -212,7 +203,8 @@
     if (advised) {
       continue;
     }
-    place->pause.expires_after(pause_after(*place));
+    const retry_span span{.first = options_.first_pause, .longest = options_.longest_pause};
+    place->pause.expires_after(retry_pause(place->failures, span, state_.random));
     co_await place->pause.async_wait(no_throw);
   }
 }
--- a/src/catkintack/control/feed_test.cpp
+++ b/src/catkintack/control/feed_test.cpp
@@ -41,7 +41,10 @@
                feed_server_options telling = {},
                feed_follower_options following = {})
       : server(io, state, keeper, telling),
-        follower(io.get_executor(), state, keeper, with(std::move(following), std::move(seeds), where)) {
+        follower(io.get_executor(),
+                 state,
+                 keeper,
+                 with(std::move(following), std::move(seeds), where)) {
     EXPECT_FALSE(server.listen(where));
     keeper.on_change([this] { server.wake(); });
     follower.start([] {});
