Give no work to an upstream whose grace has passed, before any upkeep

Cause: usable() listed entries until upkeep removed them, up to 0.5 s after the grace of 1 s. The older tests called expire() themselves and so could not see it. Ruled out: that the shorter pause of the seeds alone mends it; 0.4 + 1.0 + 0.5 s leave a tenth for the way. Before: two new tests fail. After: they pass.

--- a/include/catkintack/directory/endpoint_directory.hpp
+++ b/include/catkintack/directory/endpoint_directory.hpp
@@ -55,10 +55,13 @@
   /// @return What was removed.
   std::vector<base::upstream_id> expire(base::instant now);
 
-  /// @brief The upstreams of a service that may get work: those that are not leaving.
+  /// @brief The upstreams of a service that may get work: those that are not leaving, and whose
+  /// grace period, if they have one, has not passed.
   /// @param service The service.
+  /// @param now The time.
   /// @return Entries; valid until the next change.
-  std::vector<const known_endpoint*> usable(const base::service_id& service) const;
+  std::vector<const known_endpoint*> usable(const base::service_id& service,
+                                            base::instant now) const;
 
   /// @brief Finds an entry.
   /// @param id The upstream.
--- a/src/catkintack/control/knowledge_keeper_test.cpp
+++ b/src/catkintack/control/knowledge_keeper_test.cpp
@@ -41,7 +41,7 @@
   void step(routes::route_table table) { step({.table = std::move(table)}); }
   void put(std::string id) { step({.changed = {make(std::move(id))}}); }
   void back_in_touch() { keeper.on_registry_reached(now, "registry"); }
-  std::size_t usable() { return state.upstreams.usable(press).size(); }
+  std::size_t usable() { return state.upstreams.usable(press, now).size(); }
 };
 
 TEST(knowledge_keeper, routes_never_go_back) {
@@ -70,6 +70,16 @@
   EXPECT_EQ(world.usable(), 0U);
 }
 
+TEST(knowledge_keeper, removed_upstream_gets_no_work_after_its_grace_before_any_upkeep) {
+  keeper_world world;
+  world.put("a");
+  world.step({.removed = {base::upstream_id("a")}});
+  world.now += milliseconds(999);
+  EXPECT_EQ(world.usable(), 1U);
+  world.now += milliseconds(1);
+  EXPECT_EQ(world.usable(), 0U);
+}
+
 TEST(knowledge_keeper, entries_that_lapsed_in_an_outage_have_time_to_come_back) {
   keeper_world world;
   world.put("a");
--- a/src/catkintack/directory/endpoint_directory.cpp
+++ b/src/catkintack/directory/endpoint_directory.cpp
@@ -78,7 +78,8 @@
 }
 
 std::vector<const endpoint_directory::known_endpoint*> endpoint_directory::usable(
-    const base::service_id& service) const {
+    const base::service_id& service,
+    base::instant now) const {
   std::vector<const known_endpoint*> result;
   const auto ids = by_service_.find(service);
   if (ids == by_service_.end()) {
@@ -86,7 +87,7 @@
   }
   for (const base::upstream_id& id : ids->second) {
     const known_endpoint& known = entries_.at(id);
-    if (!known.listed.record.leaving) {
+    if (!known.listed.record.leaving && now < known.keep_until) {
       result.push_back(&known);
     }
   }
--- a/src/catkintack/directory/endpoint_directory_test.cpp
+++ b/src/catkintack/directory/endpoint_directory_test.cpp
@@ -25,19 +25,19 @@
   endpoint_directory directory;
   directory.put(make("a"), start);
   directory.put(make("b"), start);
-  EXPECT_EQ(directory.usable(press).size(), 2U);
+  EXPECT_EQ(directory.usable(press, start).size(), 2U);
   EXPECT_TRUE(directory.put(make("a", 1, true), start));
-  ASSERT_EQ(directory.usable(press).size(), 1U);
-  EXPECT_EQ(directory.usable(press)[0]->listed.record.id.value(), "b");
+  ASSERT_EQ(directory.usable(press, start).size(), 1U);
+  EXPECT_EQ(directory.usable(press, start)[0]->listed.record.id.value(), "b");
 }
 
 TEST(endpoint_directory, older_incarnation_does_not_replace_a_newer_one) {
   endpoint_directory directory;
   directory.put(make("a", 5, true), start);
   EXPECT_FALSE(directory.put(make("a", 4), start));
-  EXPECT_TRUE(directory.usable(press).empty());
+  EXPECT_TRUE(directory.usable(press, start).empty());
   EXPECT_TRUE(directory.put(make("a", 6), start));
-  EXPECT_EQ(directory.usable(press).size(), 1U);
+  EXPECT_EQ(directory.usable(press, start).size(), 1U);
 }
 
 TEST(endpoint_directory, upstream_that_changes_its_service_leaves_the_old_one) {
@@ -46,8 +46,8 @@
   endpoint moved = make("a", 2);
   moved.record.service = base::service_id("ledger");
   directory.put(moved, start);
-  EXPECT_TRUE(directory.usable(press).empty());
-  EXPECT_EQ(directory.usable(base::service_id("ledger")).size(), 1U);
+  EXPECT_TRUE(directory.usable(press, start).empty());
+  EXPECT_EQ(directory.usable(base::service_id("ledger"), start).size(), 1U);
 }
 
 TEST(endpoint_directory, entries_that_lapsed_in_an_outage_stay_until_the_grace_ends) {
@@ -55,10 +55,18 @@
   directory.put(make("a"), start);
   directory.put(make("b"), start);
   directory.replace_all({make("b")}, start, start + seconds(2));
-  EXPECT_EQ(directory.usable(press).size(), 2U);
+  EXPECT_EQ(directory.usable(press, start).size(), 2U);
   EXPECT_TRUE(directory.expire(start + milliseconds(1999)).empty());
   EXPECT_EQ(directory.expire(start + seconds(2)).size(), 1U);
-  EXPECT_EQ(directory.usable(press).size(), 1U);
+  EXPECT_EQ(directory.usable(press, start).size(), 1U);
+}
+
+TEST(endpoint_directory, upstream_gets_no_work_once_its_grace_has_passed) {
+  endpoint_directory directory;
+  directory.put(make("a"), start);
+  directory.keep_only_until(base::upstream_id("a"), start + seconds(1));
+  EXPECT_EQ(directory.usable(press, start + milliseconds(999)).size(), 1U);
+  EXPECT_TRUE(directory.usable(press, start + seconds(1)).empty());
 }
 
 TEST(endpoint_directory, entry_that_returns_in_the_grace_stays_for_good) {
--- a/src/catkintack/serving/upstream_selection.cpp
+++ b/src/catkintack/serving/upstream_selection.cpp
@@ -32,7 +32,7 @@
                               bool other_regions) {
   std::vector<candidate> result;
   const base::instant now = state.clock();
-  for (const auto* const known : state.upstreams.usable(service)) {
+  for (const auto* const known : state.upstreams.usable(service, now)) {
     const routing::upstream_record& record = known->listed.record;
     const distance where = distance_to(record, state.options);
     if ((where == distance::other_region) != other_regions || tried.contains(record.id)) {
