--- a/include/catkintack/control/feed_follower.hpp
+++ b/include/catkintack/control/feed_follower.hpp
@@ -60,7 +60,6 @@
     base::address publisher;             ///< Empty while none is followed.
     std::vector<base::address> advised;  ///< To be asked next, as a full publisher said.
     base::instant confirmed = base::instant::min();
-    std::uint64_t announced = 0;
     std::uint32_t hops = 0;
     bool asked_large = false;
     std::unique_ptr<serving::upstream_connection> connection;
--- a/include/catkintack/control/feed_message.hpp
+++ b/include/catkintack/control/feed_message.hpp
@@ -29,9 +29,8 @@
 
 /// @brief Sent on each change, and often enough to show that the publisher lives.
 struct feed_message {
-  std::uint64_t revision = 0;  ///< Of the publisher.
-  std::uint32_t hops = 0;      ///< Hosts between the publisher and one that watches the registry.
-  std::int64_t age_us = 0;     ///< Since the registry confirmed it, microseconds.
+  std::uint32_t hops = 0;   ///< Hosts between the publisher and one that watches the registry.
+  std::int64_t age_us = 0;  ///< Since the registry confirmed it, microseconds.
   std::vector<change_batch> batches{};             ///< Steps from what was sent before.
   std::optional<knowledge_snapshot> everything{};  ///< In place of steps, for a host far behind.
   std::vector<base::address> ask_instead{};        ///< The publisher has no room; these may have.
@@ -39,7 +38,7 @@
   /// @brief Serializes with cereal.
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(revision, hops, age_us, batches, everything, ask_instead);
+    archive(hops, age_us, batches, everything, ask_instead);
   }
 };
 
--- a/include/catkintack/control/feed_server.hpp
+++ b/include/catkintack/control/feed_server.hpp
@@ -25,8 +25,8 @@
   std::size_t subscribers_per_other_region = 1;
   /// Between messages when nothing changes.
   base::duration beat = std::chrono::milliseconds(500);
-  /// Tables of more routes are only announced, and read from the registry by subscribers: each is
-  /// about 150 bytes, and the link of a small host would carry them to each subscriber.
+  /// Tables of more routes are only announced, and read from the registry by subscribers: the link
+  /// of a small host would have to carry them to each.
   std::size_t large_routes = 200;
   base::duration send_limit = std::chrono::seconds(3);  ///< A host that reads no more is dropped.
 };
--- a/include/catkintack/control/host_settings.hpp
+++ b/include/catkintack/control/host_settings.hpp
@@ -2,6 +2,8 @@
 /// Settings of a host that serves routes.
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -26,16 +28,16 @@
   double repeat_ratio = 0.2;         ///< Repeats per request, over all hosts.
   double repeat_slack = 50;          ///< Repeats of all hosts in one window.
   base::duration repeat_window = std::chrono::seconds(10);
-  double probes_per_call = 4;         ///< Upstreams probed at once for one call.
-  double neighbours = 5;              ///< Upstreams of a service that are asked first.
-  double remote_probes_per_call = 2;  ///< The same of other regions; their bytes are paid.
+  std::size_t probes_per_call = 4;         ///< Upstreams probed at once for one call.
+  std::size_t neighbours = 5;              ///< Upstreams of a service that are asked first.
+  std::size_t remote_probes_per_call = 2;  ///< The same of other regions; their bytes are paid.
   base::duration probe_pause = std::chrono::milliseconds(12);  ///< Between probes of a held call.
   double hold_share = 0.125;  ///< Part of its objective that a call may be held while all are busy.
   double returned_hold_share = 0.125;  ///< The same for a caller that was refused and came back.
-  double queue_new_calls = 0;  ///< 0: a first attempt is refused rather than queued upstream.
+  std::size_t queue_new_calls = 0;  ///< 0: a first attempt is refused rather than queued upstream.
   double remote_bytes_per_second = 30000;  ///< Bytes between regions that this host may cause.
   double remote_bytes_burst = 100000;      ///< The same at once.
-  double remote_byte_limit = 9000;         ///< Largest exchange, bytes, that may leave the region.
+  std::uint64_t remote_byte_limit = 9000;  ///< Largest exchange, bytes, that may leave the region.
   base::duration shortest_return = std::chrono::milliseconds(30);   ///< Least Retry-After.
   base::duration longest_return = std::chrono::milliseconds(1500);  ///< Largest, before its spread.
   base::duration leaving_limit =
--- a/include/catkintack/serving/io.hpp
+++ b/include/catkintack/serving/io.hpp
@@ -12,6 +12,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <string>
+#include <string_view>
 
 namespace catkintack::serving {
 
@@ -26,6 +27,9 @@
 using request_parser = http::request_parser<http::buffer_body>;
 using answer_parser = http::response_parser<http::buffer_body>;
 
+/// @brief Beast's view of characters as the standard library's.
+inline std::string_view view(beast::string_view text) { return {text.data(), text.size()}; }
+
 /// @brief Reads body bytes until the message ends or `most` bytes are held.
 /// @param stream Where to read.
 /// @param buffer Bytes read ahead.
--- /dev/null
+++ b/include/catkintack/serving/status.hpp
@@ -0,0 +1,22 @@
+/// @file
+/// Status codes that this system gives or understands (RFC 9110, 15; RFC 6585).
+#pragma once
+
+namespace catkintack::serving::status {
+
+inline constexpr unsigned ok = 200;
+inline constexpr unsigned no_content = 204;
+inline constexpr unsigned not_modified = 304;
+inline constexpr unsigned bad_request = 400;
+inline constexpr unsigned not_found = 404;
+inline constexpr unsigned request_timeout = 408;
+inline constexpr unsigned gone = 410;
+inline constexpr unsigned content_too_large = 413;
+inline constexpr unsigned too_many_requests = 429;
+inline constexpr unsigned headers_too_large = 431;
+inline constexpr unsigned internal_error = 500;
+inline constexpr unsigned bad_gateway = 502;
+inline constexpr unsigned unavailable = 503;
+inline constexpr unsigned gateway_timeout = 504;
+
+}  // namespace catkintack::serving::status
--- a/src/catkintack/control/feed_follower.cpp
+++ b/src/catkintack/control/feed_follower.cpp
@@ -36,8 +36,7 @@
 bool feed_follower::informed() const {
   const base::instant now = state_.clock();
   return std::ranges::any_of(slots_, [&](const auto& place) {
-    return place->confirmed != base::instant::min() &&
-           now - place->confirmed <= options_.age_limit && place->announced <= keeper_.revision();
+    return place->confirmed != base::instant::min() && now - place->confirmed <= options_.age_limit;
   });
 }
 
@@ -101,7 +100,6 @@
     keeper_.adopt(std::move(*message.everything), source);
   }
   const base::duration age(message.age_us);
-  place.announced = std::max(place.announced, message.revision);
   place.confirmed = state_.clock() - age;
   place.hops = message.hops;
   if (informed()) {
@@ -185,7 +183,6 @@
   place.connection.reset();
   place.publisher = {};
   place.confirmed = base::instant::min();
-  place.announced = 0;
   ++place.failures;
   if (followed) {
     note_informed();
--- a/src/catkintack/control/feed_server.cpp
+++ b/src/catkintack/control/feed_server.cpp
@@ -97,10 +97,9 @@
 
 std::string feed_server::next_message(subscriber& host) const {
   feed_message message;
-  message.revision = keeper_.revision();
   message.hops = keeper_.hops();
   message.age_us = keeper_.age().count();
-  if (host.sent < message.revision) {
+  if (host.sent < keeper_.revision()) {
     if (auto steps = keeper_.changes().since(host.sent)) {
       message.batches = std::move(*steps);
     } else {
@@ -110,7 +109,7 @@
   if (!host.wants_large) {
     leave_out_large(message);
   }
-  host.sent = message.revision;
+  host.sent = keeper_.revision();
   return encode(message);
 }
 
--- a/src/catkintack/control/read_host_settings.cpp
+++ b/src/catkintack/control/read_host_settings.cpp
@@ -65,6 +65,31 @@
   };
 }
 
+reader share_value(double host_settings::*field) {
+  return [field](const std::string& text, host_settings& s) -> std::optional<std::string> {
+    const auto parsed = number(text);
+    if (!parsed || *parsed > 1) {
+      return "a number from 0 to 1";
+    }
+    s.*field = *parsed;
+    return std::nullopt;
+  };
+}
+
+template <class Whole>
+reader whole_value(Whole host_settings::*field, Whole least, Whole most) {
+  return [=](const std::string& text, host_settings& s) -> std::optional<std::string> {
+    Whole value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    const bool whole = error == std::errc{} && end == text.data() + text.size();
+    if (!whole || value < least || value > most) {
+      return "a whole number from " + std::to_string(least) + " to " + std::to_string(most);
+    }
+    s.*field = value;
+    return std::nullopt;
+  };
+}
+
 reader span_value(base::duration host_settings::*field) {
   return [field](const std::string& text, host_settings& s) -> std::optional<std::string> {
     constexpr double microseconds_per_ms = 1000;
@@ -96,6 +121,11 @@
   };
 }
 
+// More probes at once than this would be a burst of their own.
+constexpr std::size_t most_probes = 64;
+// The largest body that a route takes is far below.
+constexpr std::uint64_t most_remote_bytes = 1U << 30U;
+
 std::vector<key_rule> rules() {
   return {
       {"host.id", true, id_value(&host_settings::host)},
@@ -109,14 +139,19 @@
       {"repeats.ratio", false, number_value(&host_settings::repeat_ratio)},
       {"repeats.slack", false, number_value(&host_settings::repeat_slack)},
       {"repeats.window", false, span_value(&host_settings::repeat_window)},
-      {"probes.per_call", false, number_value(&host_settings::probes_per_call)},
-      {"probes.neighbours", false, number_value(&host_settings::neighbours)},
-      {"probes.remote_per_call", false, number_value(&host_settings::remote_probes_per_call)},
+      {"probes.per_call", false,
+       whole_value(&host_settings::probes_per_call, std::size_t{1}, most_probes)},
+      {"probes.neighbours", false,
+       whole_value(&host_settings::neighbours, std::size_t{1}, most_probes)},
+      {"probes.remote_per_call", false,
+       whole_value(&host_settings::remote_probes_per_call, std::size_t{0}, most_probes)},
       {"probes.pause", false, span_value(&host_settings::probe_pause)},
-      {"calls.hold_share", false, number_value(&host_settings::hold_share)},
-      {"calls.returned_hold_share", false, number_value(&host_settings::returned_hold_share)},
-      {"calls.queue_new", false, number_value(&host_settings::queue_new_calls)},
-      {"calls.remote_byte_limit", false, number_value(&host_settings::remote_byte_limit)},
+      {"calls.hold_share", false, share_value(&host_settings::hold_share)},
+      {"calls.returned_hold_share", false, share_value(&host_settings::returned_hold_share)},
+      {"calls.queue_new", false,
+       whole_value(&host_settings::queue_new_calls, std::size_t{0}, std::size_t{1})},
+      {"calls.remote_byte_limit", false,
+       whole_value(&host_settings::remote_byte_limit, std::uint64_t{0}, most_remote_bytes)},
       {"calls.remote_bytes_per_second", false,
        number_value(&host_settings::remote_bytes_per_second)},
       {"calls.remote_bytes_burst", false, number_value(&host_settings::remote_bytes_burst)},
--- a/src/catkintack/control/read_host_settings_test.cpp
+++ b/src/catkintack/control/read_host_settings_test.cpp
@@ -67,6 +67,21 @@
   EXPECT_NE(error.find("repeats.ratio = -1 is wrong"), std::string::npos);
 }
 
+TEST(host_settings, counts_and_shares_out_of_range_are_told_with_what_is_allowed) {
+  const std::string error = error_of(std::string(whole) +
+                                     "[probes]\nper_call = 0\nneighbours = 2.5\n"
+                                     "remote_per_call = 65\n[calls]\nhold_share = 1.5\n"
+                                     "queue_new = 2\nremote_byte_limit = -1\n");
+  EXPECT_NE(error.find("per_call = 0 is wrong; allowed: a whole number from 1 to 64"),
+            std::string::npos);
+  EXPECT_NE(error.find("neighbours = 2.5 is wrong"), std::string::npos);
+  EXPECT_NE(error.find("remote_per_call = 65 is wrong"), std::string::npos);
+  EXPECT_NE(error.find("hold_share = 1.5 is wrong; allowed: a number from 0 to 1"),
+            std::string::npos);
+  EXPECT_NE(error.find("queue_new = 2 is wrong"), std::string::npos);
+  EXPECT_NE(error.find("remote_byte_limit = -1 is wrong"), std::string::npos);
+}
+
 TEST(host_settings, line_that_is_no_setting_is_named) {
   EXPECT_NE(error_of("[host]\nid = h\nnonsense\n").find(":3: neither"), std::string::npos);
 }
--- a/src/catkintack/serving/call_runner.cpp
+++ b/src/catkintack/serving/call_runner.cpp
@@ -3,15 +3,12 @@
 #include <set>
 #include <utility>
 
+#include "catkintack/serving/status.hpp"
 #include "catkintack/serving/upstream_selection.hpp"
 
 namespace catkintack::serving {
 namespace {
 
-constexpr unsigned bad_gateway = 502;
-constexpr unsigned unavailable = 503;
-constexpr unsigned gateway_timeout = 504;
-
 /// @brief Progress of one call over its attempts.
 struct call_progress {
   std::uint32_t attempts = 0;
@@ -58,10 +55,10 @@
     return result;
   }
   if (progress.may_have_run) {
-    result.own = own(state, served, bad_gateway, "no whole answer from an upstream\n");
+    result.own = own(state, served, status::bad_gateway, "no whole answer from an upstream\n");
   } else {
-    result.own =
-        own(state, served, unavailable, "not run: no upstream can serve it now\n", retry_after);
+    result.own = own(state, served, status::unavailable, "not run: no upstream can serve it now\n",
+                     retry_after);
   }
   return result;
 }
@@ -175,7 +172,8 @@
       co_return result;
     }
     if (ended.end == exchange_end::timed_out) {
-      result.own = own(state, *served, gateway_timeout, "no answer within the time allowed\n");
+      result.own =
+          own(state, *served, status::gateway_timeout, "no answer within the time allowed\n");
       co_return result;
     }
     progress.may_have_run = progress.may_have_run || ended.end != exchange_end::not_run;
--- a/src/catkintack/serving/caller_session.cpp
+++ b/src/catkintack/serving/caller_session.cpp
@@ -9,22 +9,15 @@
 #include <utility>
 
 #include "catkintack/serving/call_runner.hpp"
+#include "catkintack/serving/status.hpp"
 
 namespace catkintack::serving {
 namespace {
 
-constexpr unsigned bad_request = 400;
-constexpr unsigned not_found = 404;
-constexpr unsigned request_timeout = 408;
-constexpr unsigned body_too_large = 413;
-constexpr unsigned headers_too_large = 431;
-constexpr unsigned unavailable = 503;
 // A caller that does not take its answer for this long is given up.
 constexpr base::duration write_limit = std::chrono::seconds(10);
 constexpr base::duration unready_retry_after = std::chrono::milliseconds(300);
 
-std::string_view view(beast::string_view text) { return {text.data(), text.size()}; }
-
 std::optional<std::int64_t> whole_number(std::string_view text) {
   std::int64_t value = 0;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
@@ -36,12 +29,13 @@
 
 own_answer refusal_of(const error_code& error) {
   if (error == http::error::header_limit || error == http::error::buffer_overflow) {
-    return {.status = headers_too_large, .sentence = "headers are too large\n"};
+    return {.status = status::headers_too_large, .sentence = "headers are too large\n"};
   }
   if (error == http::error::body_limit) {
-    return {.status = body_too_large, .sentence = "the body is too large\n"};
+    return {.status = status::content_too_large, .sentence = "the body is too large\n"};
   }
-  return {.status = bad_request, .sentence = "the request is malformed: " + error.message() + "\n"};
+  return {.status = status::bad_request,
+          .sentence = "the request is malformed: " + error.message() + "\n"};
 }
 
 bool malformed(const error_code& error) {
@@ -120,7 +114,7 @@
   made->table = state_.table;
   own_answer refused{.request_id = made->id};
   if (!made->table || state_.stop == stop_stage::refusing) {
-    refused.status = unavailable;
+    refused.status = status::unavailable;
     refused.sentence =
         made->table ? "not run: this host stops\n" : "not run: no routes known yet\n";
     refused.retry_after = unready_retry_after;
@@ -129,7 +123,7 @@
   }
   made->route = made->table->match(view(head[http::field::host]), view(head.target()));
   if (made->route == nullptr) {
-    refused.status = not_found;
+    refused.status = status::not_found;
     refused.sentence = "no route takes this request\n";
     co_await refuse(std::move(refused));
     co_return nullptr;
@@ -170,7 +164,8 @@
       own_answer refused = refusal_of(error);
       co_await refuse(std::move(refused));
     } else if (error == beast::error::timeout) {
-      own_answer late{.status = request_timeout, .sentence = "the body did not come in time\n"};
+      own_answer late{.status = status::request_timeout,
+                      .sentence = "the body did not come in time\n"};
       co_await refuse(std::move(late));
     }
     co_return false;
@@ -274,17 +269,15 @@
     std::string text = to_text(result.own.value_or(own_answer{}), close_after);
     co_return co_await write(std::move(text));
   }
-  constexpr unsigned no_content = 204;
-  constexpr unsigned not_modified = 304;
   exchange_result& given = *result.upstream_answer;
   head_writer head = head_writer::answer(given.status, given.reason);
   head.pass_on(given.headers, {});
-  if (served.method == "HEAD" || given.status == not_modified) {
+  if (served.method == "HEAD" || given.status == status::not_modified) {
     const auto length = given.headers[http::field::content_length];
     if (!length.empty()) {
       head.add("Content-Length", view(length));
     }
-  } else if (given.status != no_content) {
+  } else if (given.status != status::no_content) {
     const auto length = given.rest ? given.rest->content_length() : boost::none;
     head.length(given.rest ? (length ? std::optional<std::uint64_t>(*length) : std::nullopt)
                            : std::optional<std::uint64_t>(given.body.size()));
--- a/src/catkintack/serving/exchange.cpp
+++ b/src/catkintack/serving/exchange.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "catkintack/serving/message_text.hpp"
+#include "catkintack/serving/status.hpp"
 
 namespace catkintack::serving {
 namespace {
@@ -12,8 +13,6 @@
 // An upstream may leave late answers to earlier calls; more than this many and it is given up.
 constexpr int most_stray_answers = 3;
 
-std::string_view view(beast::string_view text) { return {text.data(), text.size()}; }
-
 std::string request_head(const call& sent,
                          const upstream_connection& connection,
                          const upstream_protocol& protocol,
@@ -79,7 +78,7 @@
     if (error) {
       co_return std::pair{nullptr, error};
     }
-    if (parser->get().result_int() < 200) {
+    if (parser->get().result_int() < status::ok) {
       continue;
     }
     if (!is_stray(*parser, sent, protocol)) {
@@ -123,12 +122,14 @@
     return exchange_end::may_have_run;
   }
   // To a caller these statuses say "not run", which the upstream did not say.
-  const bool promises = result.status == 503 || result.status == 429 || result.status == 408;
+  const bool promises = result.status == status::unavailable ||
+                        result.status == status::too_many_requests ||
+                        result.status == status::request_timeout;
   if (promises && !sent.repeatable()) {
     detail = "status " + std::to_string(result.status) + " without word that it did not run";
     return exchange_end::may_have_run;
   }
-  if (result.status >= 500 || promises) {
+  if (result.status >= status::internal_error || promises) {
     detail = "status " + std::to_string(result.status);
     return exchange_end::failed;
   }
--- a/src/catkintack/serving/front_server.cpp
+++ b/src/catkintack/serving/front_server.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "catkintack/serving/message_text.hpp"
+#include "catkintack/serving/status.hpp"
 
 namespace catkintack::serving {
 namespace {
@@ -14,6 +15,7 @@
 constexpr base::duration upkeep_interval = std::chrono::milliseconds(500);
 constexpr base::duration drain_interval = std::chrono::milliseconds(50);
 constexpr base::duration check_idle_limit = std::chrono::seconds(30);
+
 asio::awaitable<void> wait_for(asio::io_context& io, base::duration span) {
   asio::steady_timer timer(io, span);
   co_await timer.async_wait(no_throw);
@@ -53,9 +55,6 @@
 
 asio::awaitable<void> front_server::answer_checks(beast::tcp_stream stream) {
   constexpr std::string_view metrics_path = "/metrics";
-  constexpr unsigned ok = 200;
-  constexpr unsigned not_found = 404;
-  constexpr unsigned unavailable = 503;
   beast::flat_buffer buffer;
   for (;;) {
     http::request<http::empty_body> asked;
@@ -64,13 +63,14 @@
     if (error) {
       co_return;
     }
-    const std::string_view target(asked.target().data(), asked.target().size());
-    own_answer reply{.status = not_found, .sentence = "no such page\n"};
+    const std::string_view target = view(asked.target());
+    own_answer reply{.status = status::not_found, .sentence = "no such page\n"};
     if (target == state_.options.readiness_path) {
       const bool ready = state_.ready();
-      reply = {.status = ready ? ok : unavailable, .sentence = ready ? "ready\n" : "not ready\n"};
+      reply = {.status = ready ? status::ok : status::unavailable,
+               .sentence = ready ? "ready\n" : "not ready\n"};
     } else if (target == metrics_path) {
-      reply = {.status = ok, .sentence = state_.metrics.prometheus_text()};
+      reply = {.status = status::ok, .sentence = state_.metrics.prometheus_text()};
     }
     const std::string text = to_text(reply, !asked.keep_alive());
     auto [unsent, written] = co_await asio::async_write(stream, asio::buffer(text), no_throw);
--- a/src/catkintack/serving/probe_round.cpp
+++ b/src/catkintack/serving/probe_round.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "catkintack/serving/message_text.hpp"
+#include "catkintack/serving/status.hpp"
 
 namespace catkintack::serving {
 namespace {
@@ -82,13 +83,12 @@
 }
 
 void probe_round::note_answer(const answer_parser& parser, choice::candidate& target) {
-  constexpr unsigned ok = 200;
   const auto load = parser.get()[state_.options.protocol.load];
-  target.reading = state_.options.protocol.read_load({load.data(), load.size()});
+  target.reading = state_.options.protocol.read_load(view(load));
   if (!target.reading) {
     const auto* const known = state_.upstreams.find(target.id);
     if (known != nullptr) {
-      if (parser.get().result_int() == ok) {
+      if (parser.get().result_int() == status::ok) {
         state_.probes_without_load[known->listed.record.service] = true;
       }
       target.reading = choice::probe_reading{.running = state_.sends.open(target.id),
@@ -98,7 +98,7 @@
     }
   }
   // Its own word may be wrong either way, so it only goes behind the others.
-  target.suspect = target.suspect || parser.get().result_int() != ok;
+  target.suspect = target.suspect || parser.get().result_int() != status::ok;
 }
 
 asio::awaitable<bool> probe_round::ask(upstream_connection& connection,
@@ -129,7 +129,7 @@
   }
   const upstream_protocol& names = state_.options.protocol;
   const auto named = parser.get()[names.upstream];
-  const bool own = std::string_view(named.data(), named.size()) == target.id.value();
+  const bool own = view(named) == target.id.value();
   // An id of a call marks a late answer to that call, not the probe's.
   if (!own || parser.get().count(names.request_id) > 0 || !parser.is_done()) {
     connection.close();
