Pass on that a large table exists before having read it

Ruled out: the store; hosts that knew of the table read it within 70 ms. Three tests, all failing before.

--- a/include/catkintack/control/feed_follower.hpp
+++ b/include/catkintack/control/feed_follower.hpp
@@ -50,7 +50,8 @@
   /// @brief Whether a publisher keeps this host up to date, so that it need not ask the registry.
   bool informed() const;
 
-  /// @brief The registry cannot be reached: large tables are wanted from the publishers too.
+  /// @brief The registry cannot be reached: large tables are wanted from the publishers too. One
+  /// that had none when it was asked is asked again.
   void want_large();
 
  private:
@@ -61,7 +62,6 @@
     std::vector<base::address> advised;  ///< To be asked next, as a full publisher said.
     base::instant confirmed = base::instant::min();
     std::uint32_t hops = 0;
-    bool asked_large = false;
     std::unique_ptr<serving::upstream_connection> connection;
     boost::asio::steady_timer pause;
     unsigned failures = 0;
--- a/src/catkintack/control/feed_follower.cpp
+++ b/src/catkintack/control/feed_follower.cpp
@@ -61,7 +61,7 @@
 void feed_follower::want_large() {
   want_large_ = true;
   for (const auto& place : slots_) {
-    if (place->connection && !place->asked_large && keeper_.lacks_table()) {
+    if (place->connection && keeper_.lacks_table()) {
       place->connection->close();
     }
   }
@@ -156,7 +156,6 @@
     co_return error.message();
   }
   place.connection = std::move(made);
-  place.asked_large = want_large_;
   std::string asked = subscription();
   place.connection->stream.expires_after(options_.connect_limit);
   const serving::error_code unsent =
--- a/src/catkintack/control/feed_server.cpp
+++ b/src/catkintack/control/feed_server.cpp
@@ -85,7 +85,7 @@
 void feed_server::leave_out_large(feed_message& message) const {
   const auto leave_out = [&](auto& part) {
     if (part.table && part.table->routes().size() > options_.large_routes) {
-      part.newer_table = part.table->version().value();
+      part.newer_table = std::max(part.newer_table, part.table->version().value());
       part.table.reset();
     }
   };
--- a/src/catkintack/control/feed_test.cpp
+++ b/src/catkintack/control/feed_test.cpp
@@ -221,6 +221,62 @@
   EXPECT_TRUE(run_until(io, [&] { return host.follower.informed(); }));
 }
 
+// Incident 03: a relay that had not read a large table yet kept quiet about it.
+TEST(feed, relay_without_a_large_table_passes_on_that_it_exists) {
+  asio::io_context io;
+  feeding_host root(io, {}, {.large_routes = 0});
+  root.keeper.watching(true);
+  knowledge_snapshot known = make_snapshot();
+  known.newer_table = 9;
+  feeding_host relay(io, {root.where});
+  relay.keeper.adopt(known, "registry");
+  ASSERT_TRUE(relay.keeper.lacks_table());
+  feeding_host far(io, {relay.where});
+  ASSERT_TRUE(run_until(io, [&] { return far.keeper.revision() == 12; }));
+  EXPECT_EQ(far.state.table->version().value(), 7U);
+  EXPECT_TRUE(far.keeper.lacks_table());
+}
+
+// The same when the relay's own, older table is too large to be told.
+TEST(feed, relay_with_an_older_large_table_announces_the_newest) {
+  asio::io_context io;
+  routes::route route;
+  route.services = {{base::service_id("press"), 1}};
+  routes::route_table_builder builder{base::list_version(7)};
+  builder.add(route);
+  knowledge_snapshot known = make_snapshot();
+  known.table = std::move(builder).build();
+  known.newer_table = 9;
+  feeding_host relay(io, {}, {.large_routes = 0});
+  relay.keeper.adopt(known, "registry");
+  feeding_host far(io, {relay.where});
+  ASSERT_TRUE(run_until(io, [&] { return far.keeper.lacks_table(); }));
+  routes::route_table_builder eighth{base::list_version(8)};
+  far.keeper.adopt_table(std::move(eighth).build(), "registry");
+  EXPECT_TRUE(far.keeper.lacks_table());
+}
+
+TEST(feed, large_table_that_the_relay_gets_late_is_told_when_asked_for_again) {
+  asio::io_context io;
+  feeding_host relay(io, {}, {.large_routes = 0});
+  relay.keeper.watching(true);
+  knowledge_snapshot known = make_snapshot();
+  known.newer_table = 9;
+  relay.keeper.adopt(known, "registry");
+  feeding_host far(io, {relay.where});
+  ASSERT_TRUE(run_until(io, [&] { return far.keeper.lacks_table(); }));
+  far.follower.want_large();
+  ASSERT_TRUE(run_until(io, [&] { return relay.server.subscribers() == 2; }));
+  ASSERT_TRUE(run_until(io, [&] { return relay.server.subscribers() == 1; }));
+  routes::route route;
+  route.services = {{base::service_id("press"), 1}};
+  routes::route_table_builder builder{base::list_version(9)};
+  builder.add(route);
+  relay.keeper.adopt_table(std::move(builder).build(), "registry");
+  far.follower.want_large();
+  EXPECT_TRUE(run_until(io, [&] { return !far.keeper.lacks_table(); }));
+}
+
 TEST(feed, large_table_is_announced_and_told_only_on_demand) {
   asio::io_context io;
   feeding_host root(io, {}, {.large_routes = 0});
--- a/src/catkintack/control/knowledge_keeper.cpp
+++ b/src/catkintack/control/knowledge_keeper.cpp
@@ -141,6 +141,7 @@
 knowledge_snapshot knowledge_keeper::snapshot() const {
   knowledge_snapshot result;
   result.revision = revision_;
+  result.newer_table = newest_table_;
   if (state_.table) {
     result.table = *state_.table;
   }
