Serve restored registries, announced departures and requested pauses

Cause: three additions to the platform's wire were not spoken. The store can come back from a copy some seconds old: revision numbers are then given out again, and comparing them bare would keep a host on the state before the restore for good. An upstream announces its departure in its answers, and one that turns a call away with 503 may ask for a pause; both were ignored.

Change: registry_revision orders by era, then number, in the client, the replica, the change log and the feed. A later era is taken over as a full listing: routes of a higher version and announced departures stay in force, missing upstreams have 2 s to write again, and upstreams removed before the restore get no work for 15 s unless they write again (departure_log). A stale, late or mixed answer of another era changes nothing.

Ruled out: sending the difference between the eras to subscribers: one that is ahead of the publisher in the older era would keep entries that neither side knows of.

Without the feature the new serving and sync tests fail, as the old code has no notion of eras or notices.

--- a/include/catkintack/base/ids.hpp
+++ b/include/catkintack/base/ids.hpp
@@ -18,7 +18,9 @@
 
 using incarnation = strong_number<struct incarnation_tag>;    ///< One run of a host's daemon.
 using list_version = strong_number<struct list_version_tag>;  ///< A version of an operators' list.
-using edit_id = strong_number<struct edit_tag>;               ///< An edit of a list; random.
+using registry_era =
+    strong_number<struct registry_era_tag>;                ///< Rises when the registry is restored.
+using edit_id = strong_number<struct edit_tag>;            ///< An edit of a list; random.
 using call_id = strong_number<struct call_tag>;            ///< A request as received by one daemon.
 using attempt_number = strong_number<struct attempt_tag>;  ///< An attempt of a call, from 1.
 
--- a/include/catkintack/control/change_batch.hpp
+++ b/include/catkintack/control/change_batch.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "catkintack/base/ids.hpp"
+#include "catkintack/control/registry_revision.hpp"
 #include "catkintack/directory/endpoint.hpp"
 #include "catkintack/routes/route_table.hpp"
 
@@ -14,8 +15,8 @@
 
 /// @brief The changes after one revision up to another, with the latest state of each entry.
 struct change_batch {
-  std::uint64_t base_revision = 0;  ///< Applies to a replica at this revision or a later one.
-  std::uint64_t revision = 0;       ///< The revision of the replica afterwards.
+  registry_revision base_revision{};  ///< Applies to a replica at this revision or a later one.
+  registry_revision revision{};       ///< The revision of the replica afterwards.
   std::optional<routes::route_table> table{};
   /// Version of a table that is too large to send and must be read from the registry. 0: none.
   std::uint64_t announced_table_version = 0;
--- a/include/catkintack/control/change_log.hpp
+++ b/include/catkintack/control/change_log.hpp
@@ -21,15 +21,15 @@
   /// @brief Appends the next batch; a batch that leaves a gap after the last one clears the log.
   void append(change_batch batch);
   /// @brief Clears the log; it then starts at the given revision.
-  void reset(std::uint64_t revision);
+  void reset(registry_revision revision);
   /// @brief Returns the batches after a revision.
   /// @return Nothing if the log does not reach back to that revision.
-  std::optional<std::vector<change_batch>> since(std::uint64_t revision) const;
+  std::optional<std::vector<change_batch>> since(registry_revision revision) const;
 
  private:
   std::size_t capacity_;
-  std::uint64_t first_revision_ = 0;  ///< The revision before the first batch.
-  std::uint64_t last_revision_ = 0;   ///< The revision after the last batch.
+  registry_revision first_revision_;  ///< The revision before the first batch.
+  registry_revision last_revision_;   ///< The revision after the last batch.
   std::deque<change_batch> batches_;
 };
 
--- a/include/catkintack/control/feed_message.hpp
+++ b/include/catkintack/control/feed_message.hpp
@@ -8,16 +8,17 @@
 
 #include "catkintack/base/address.hpp"
 #include "catkintack/control/change_batch.hpp"
+#include "catkintack/control/registry_revision.hpp"
 #include "catkintack/control/registry_snapshot.hpp"
 
 namespace catkintack::control {
 
 /// @brief Subscribes to changes. A subscriber sends no other message.
 struct feed_subscription {
-  std::uint64_t known_revision = 0;  ///< Only later changes are requested.
-  base::address feed_address{};      ///< Address of the subscriber's own feed server.
-  base::region_id region{};          ///< Region of the subscriber.
-  bool watches_registry = false;     ///< The subscriber watches the registry itself.
+  registry_revision known_revision{};  ///< Only later changes are requested.
+  base::address feed_address{};        ///< Address of the subscriber's own feed server.
+  base::region_id region{};            ///< Region of the subscriber.
+  bool watches_registry = false;       ///< The subscriber watches the registry itself.
   /// Send large tables too, as the subscriber cannot reach the registry.
   bool wants_large_tables = false;
 
--- a/include/catkintack/control/feed_server.hpp
+++ b/include/catkintack/control/feed_server.hpp
@@ -61,7 +61,7 @@
     base::region_id region;
     bool watches_registry = false;
     boost::asio::steady_timer timer;
-    std::uint64_t sent_revision = 0;  ///< Revision of the last message sent.
+    registry_revision sent_revision;  ///< Revision of the last message sent.
     base::instant sent_at = base::instant::min();
     bool wants_large_tables = false;
     bool pending_change = false;  ///< A change arrived while a message was being sent.
--- a/include/catkintack/control/registry_replica.hpp
+++ b/include/catkintack/control/registry_replica.hpp
@@ -29,10 +29,12 @@
   registry_replica(serving::traffic_state& state, replica_options options = {});
 
   /// @brief Applies a batch of changes; a batch without anything new is ignored.
-  /// @return False if batches before it are missing.
+  /// @return False if batches before it are missing, or if it belongs to a later era than the
+  /// replica, which needs a snapshot.
   bool apply(const change_batch& batch, std::string_view source);
   /// @brief Applies a snapshot that is newer than the replica; of an older one only the table, if
-  /// the replica lacks it.
+  /// the replica lacks it. A snapshot of a later era comes from a registry that was restored from
+  /// an older copy: routes and departures that are known from before stay in force.
   /// @return Whether the snapshot was newer.
   bool apply_snapshot(registry_snapshot snapshot, std::string_view source);
 
@@ -61,7 +63,7 @@
   base::duration age() const;
 
   /// @brief Returns the registry revision of this replica.
-  std::uint64_t revision() const { return revision_; }
+  registry_revision revision() const { return revision_; }
   /// @brief Returns the most recent changes, for hosts that are behind.
   const change_log& changes() const { return changes_; }
   /// @brief Returns the full state, for another host.
@@ -73,12 +75,15 @@
  private:
   void put(const directory::endpoint& upstream, std::string_view source);
   void remove(const base::upstream_id& id, std::string_view source);
+  /// @brief Whether any state of the registry has been applied.
+  bool has_state() const { return revision_ != registry_revision{}; }
+  void on_registry_restored(const registry_revision& restored, std::string_view source);
   base::instant removal_deadline() const;
   void notify_change() const;
 
   serving::traffic_state& state_;
   replica_options options_;
-  std::uint64_t revision_ = 0;
+  registry_revision revision_;
   change_log changes_;
   std::uint64_t newest_table_version_ = 0;  ///< Newest version received or announced.
   std::uint32_t hops_ = 0;
--- a/include/catkintack/control/registry_snapshot.hpp
+++ b/include/catkintack/control/registry_snapshot.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "catkintack/control/registry_revision.hpp"
 #include "catkintack/directory/endpoint.hpp"
 #include "catkintack/routes/route_table.hpp"
 
@@ -14,7 +15,7 @@
 
 /// @brief Routes and upstreams at one revision.
 struct registry_snapshot {
-  std::uint64_t revision = 0;  ///< The registry revision of the snapshot.
+  registry_revision revision{};  ///< The registry revision of the snapshot.
   std::optional<routes::route_table> table{};
   /// Version of a table that is too large to send and must be read from the registry. 0: none.
   std::uint64_t announced_table_version = 0;
--- a/include/catkintack/directory/endpoint_directory.hpp
+++ b/include/catkintack/directory/endpoint_directory.hpp
@@ -2,10 +2,12 @@
 /// Directory of the known upstreams.
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <set>
 #include <vector>
 
+#include "catkintack/directory/departure_log.hpp"
 #include "catkintack/directory/endpoint.hpp"
 
 namespace catkintack::directory {
@@ -14,15 +16,25 @@
 ///
 /// An entry that is missing from a full listing after a registry outage may merely have expired in
 /// the registry. Such an entry is kept for a grace period, in which its upstream can register
-/// again.
+/// again. Leaving is final for an incarnation: an entry that lists it as ready again stems from an
+/// older copy of the registry.
 class endpoint_directory {
  public:
+  /// @brief What a full listing reflects.
+  enum class listing_kind : std::uint8_t {
+    current,  ///< The latest state of the registry.
+    restored  ///< A registry restored from an older copy, before its writers have written again.
+  };
+
   /// @brief An entry with its local timestamps.
   struct known_endpoint {
     endpoint listed;
     base::instant first_seen;                         ///< When this incarnation was first seen.
     base::instant warm_up_until;                      ///< End of the warm-up.
     base::instant expires_at = base::instant::max();  ///< Removed then unless it is listed again.
+    /// Gets no work before: the entry had been removed and came back with an older copy of the
+    /// registry, so that its upstream may be gone.
+    base::instant unconfirmed_until = base::instant::min();
   };
 
   /// @brief Adds or replaces an entry. An entry of an older incarnation is ignored.
@@ -33,27 +45,37 @@
   /// time stays.
   void expire_at(const base::upstream_id& id, base::instant until);
 
+  /// @brief Records that an upstream announced its departure in a response; it gets no new work.
+  /// @return Whether this is news.
+  bool mark_leaving(const base::upstream_id& id, base::instant now);
+
   /// @brief Removes an entry.
   /// @return Whether the entry existed.
-  bool remove(const base::upstream_id& id);
+  bool remove(const base::upstream_id& id, base::instant now);
 
   /// @brief Applies a full listing of the registry.
   /// @param listed All entries of the registry.
   /// @param missing_expire_at When to remove entries that are not listed; now or earlier to remove
   /// them at once.
+  /// @param kind Of a restored registry, entries that were removed before get no work for a while.
   void replace_all(const std::vector<endpoint>& listed,
                    base::instant now,
-                   base::instant missing_expire_at);
+                   base::instant missing_expire_at,
+                   listing_kind kind = listing_kind::current);
 
   /// @brief Removes the entries whose grace period has ended.
   /// @return The ids of the removed entries.
   std::vector<base::upstream_id> expire(base::instant now);
 
-  /// @brief Returns the upstreams of a service that can accept work: those that are not leaving and
-  /// whose grace period, if any, has not ended. The pointers are valid until the next change.
+  /// @brief Returns the upstreams of a service that can accept work: those that are not leaving,
+  /// whose grace period, if any, has not ended, and that are not held back as unconfirmed. The
+  /// pointers are valid until the next change.
   std::vector<const known_endpoint*> available(const base::service_id& service,
                                                base::instant now) const;
 
+  /// @brief Whether an upstream can accept work.
+  bool is_available(const base::upstream_id& id, base::instant now) const;
+
   /// @brief Returns the entry of an upstream, or null.
   const known_endpoint* find(const base::upstream_id& id) const;
 
@@ -62,6 +84,9 @@
   std::size_t size() const { return entries_.size(); }
 
  private:
+  bool was_removed(const endpoint& entry) const;
+
+  departure_log departures_;
   std::map<base::upstream_id, known_endpoint> entries_;
   std::map<base::service_id, std::set<base::upstream_id>> by_service_;
 };
--- a/include/catkintack/serving/exchange.hpp
+++ b/include/catkintack/serving/exchange.hpp
@@ -7,6 +7,7 @@
 
 #include "catkintack/serving/call.hpp"
 #include "catkintack/serving/upstream_connection.hpp"
+#include "catkintack/serving/upstream_notice.hpp"
 #include "catkintack/serving/upstream_protocol.hpp"
 
 namespace catkintack::serving {
@@ -32,6 +33,7 @@
   std::string reason;
   http::fields headers;
   std::string body;                                 ///< The complete body, or its first part.
+  upstream_notice notice;                           ///< What the upstream says about itself.
   std::uint64_t sent_bytes = 0;                     ///< Size of the request as sent, head and body.
   std::unique_ptr<upstream_connection> connection;  ///< Reusable, or source of the remaining body.
   std::unique_ptr<response_parser> body_parser;     ///< Set while the body is incomplete.
--- a/include/catkintack/serving/status.hpp
+++ b/include/catkintack/serving/status.hpp
@@ -12,6 +12,7 @@
 inline constexpr unsigned request_timeout = 408;
 inline constexpr unsigned gone = 410;
 inline constexpr unsigned content_too_large = 413;
+inline constexpr unsigned misdirected = 421;
 inline constexpr unsigned too_many_requests = 429;
 inline constexpr unsigned headers_too_large = 431;
 inline constexpr unsigned internal_error = 500;
--- a/include/catkintack/serving/traffic_state.hpp
+++ b/include/catkintack/serving/traffic_state.hpp
@@ -11,6 +11,7 @@
 #include "catkintack/base/metric_registry.hpp"
 #include "catkintack/choice/outlier_detector.hpp"
 #include "catkintack/choice/route_statistics.hpp"
+#include "catkintack/choice/upstream_pauses.hpp"
 #include "catkintack/directory/endpoint_directory.hpp"
 #include "catkintack/limits/byte_budget.hpp"
 #include "catkintack/limits/resend_budget.hpp"
@@ -43,6 +44,7 @@
   connection_pool pool;
   choice::route_statistics route_statistics;
   choice::outlier_detector outlier_detector;
+  choice::upstream_pauses pauses;
   limits::resend_budget repeats;
   limits::byte_budget remote_bytes;  ///< Budget for traffic between regions.
   in_flight_sends in_flight;
@@ -51,6 +53,11 @@
   stop_stage stop = stop_stage::running;
   std::size_t open_calls = 0;  ///< Calls received and not yet answered.
 
+  /// @brief Whether an upstream may be sent calls and probes now.
+  bool accepts_requests(const base::upstream_id& id) const {
+    const base::instant now = clock();
+    return upstreams.is_available(id, now) && !pauses.end_of(id, now);
+  }
   /// @brief Whether the readiness check should direct new callers to this host.
   bool ready() const { return stop == stop_stage::running && table && upstreams.size() > 0; }
 };
--- /dev/null
+++ b/include/catkintack/serving/upstream_notice.hpp
@@ -0,0 +1,37 @@
+/// @file
+/// What an upstream says about itself in a response.
+#pragma once
+
+#include <boost/beast/http/fields.hpp>
+#include <optional>
+#include <string_view>
+
+#include "catkintack/base/ids.hpp"
+#include "catkintack/base/units.hpp"
+#include "catkintack/serving/upstream_protocol.hpp"
+
+namespace catkintack::serving {
+
+struct traffic_state;
+
+/// @brief What an upstream says about itself in a response, whatever the response is to.
+struct upstream_notice {
+  bool leaving = false;                   ///< It is about to stop and expects no new work.
+  std::optional<base::duration> pause{};  ///< It is overloaded and expects no requests for so long.
+};
+
+/// @brief Parses a Retry-After value in seconds, with or without a fraction.
+/// @return Nothing for a date, a negative number or other text. Values above a day count as a day.
+std::optional<base::duration> parse_retry_after(std::string_view text);
+
+/// @brief Reads the notice from a response.
+upstream_notice read_notice(unsigned status,
+                            const boost::beast::http::fields& headers,
+                            const upstream_protocol& protocol);
+
+/// @brief Applies a notice: a leaving upstream and one that asked for a pause get no new calls.
+void apply_notice(traffic_state& state,
+                  const base::upstream_id& upstream,
+                  const upstream_notice& notice);
+
+}  // namespace catkintack::serving
--- a/src/catkintack/choice/placement.cpp
+++ b/src/catkintack/choice/placement.cpp
@@ -98,4 +98,22 @@
   return result;
 }
 
+placement place_paused_call(base::duration resumed_in,
+                            const call_requirements& call,
+                            const placement_options& options,
+                            const base::random_hook& random) {
+  placement result;
+  if (call.held_for + resumed_in < call.max_hold) {
+    result.action = placement_action::wait;
+    result.pause = std::max(resumed_in, options.probe_pause);
+    return result;
+  }
+  result.action = placement_action::refuse;
+  // The callers that were refused meanwhile return one after the other within one service time.
+  const auto spread = static_cast<std::uint64_t>(call.service_time.typical.count());
+  result.pause = std::max(resumed_in, options.min_retry_after) +
+                 base::duration(static_cast<base::duration::rep>(random() % (spread + 1)));
+  return result;
+}
+
 }  // namespace catkintack::choice
--- a/src/catkintack/choice/placement_test.cpp
+++ b/src/catkintack/choice/placement_test.cpp
@@ -182,5 +182,22 @@
   }
 }
 
+TEST(all_upstreams_paused,
+     call_waits_if_one_resumes_within_the_hold_and_is_refused_at_once_if_not) {
+  const call_requirements call = typical_call();
+  const placement soon = place_paused_call(milliseconds(60), call, {}, no_jitter);
+  EXPECT_EQ(soon.action, placement_action::wait);
+  EXPECT_EQ(soon.pause, milliseconds(60));
+  const placement late = place_paused_call(milliseconds(900), call, {}, no_jitter);
+  EXPECT_EQ(late.action, placement_action::refuse);
+  EXPECT_EQ(late.pause, milliseconds(900));
+}
+
+TEST(all_upstreams_paused, refused_callers_return_spread_over_one_service_time) {
+  const auto latest = [] { return std::uint64_t{200'000}; };
+  const placement result = place_paused_call(milliseconds(900), typical_call(), {}, latest);
+  EXPECT_EQ(result.pause, milliseconds(1100));
+}
+
 }  // namespace
 }  // namespace catkintack::choice
--- a/src/catkintack/control/change_log.cpp
+++ b/src/catkintack/control/change_log.cpp
@@ -5,7 +5,7 @@
 
 namespace catkintack::control {
 
-void change_log::reset(std::uint64_t revision) {
+void change_log::reset(registry_revision revision) {
   batches_.clear();
   first_revision_ = revision;
   last_revision_ = revision;
@@ -32,7 +32,7 @@
   }
 }
 
-std::optional<std::vector<change_batch>> change_log::since(std::uint64_t revision) const {
+std::optional<std::vector<change_batch>> change_log::since(registry_revision revision) const {
   if (revision < first_revision_) {
     return std::nullopt;
   }
--- a/src/catkintack/control/feed_client.cpp
+++ b/src/catkintack/control/feed_client.cpp
@@ -56,7 +56,7 @@
   if (now_up_to_date != was_up_to_date_) {
     was_up_to_date_ = now_up_to_date;
     state_.log.write("informed_by_peers", {{"informed", now_up_to_date ? 1 : 0},
-                                           {"revision", replica_.revision()},
+                                           {"revision", replica_.revision().number},
                                            {"age_us", replica_.age().count()}});
   }
   on_change_();
@@ -146,7 +146,7 @@
 std::string feed_client::subscription() const {
   feed_subscription result;
   // A host that lacks a table needs a full snapshot.
-  result.known_revision = replica_.lacks_table() ? 0 : replica_.revision();
+  result.known_revision = replica_.lacks_table() ? registry_revision{} : replica_.revision();
   result.feed_address = options_.self;
   result.region = state_.options.region;
   result.watches_registry = options_.watches_registry;
--- a/src/catkintack/control/feed_test.cpp
+++ b/src/catkintack/control/feed_test.cpp
@@ -23,7 +23,7 @@
 
 registry_snapshot make_snapshot() {
   registry_snapshot result;
-  result.revision = 12;
+  result.revision = {.number = 12};
   result.table = routes::route_table_builder(base::list_version(7)).build();
   directory::endpoint upstream;
   upstream.record.id = base::upstream_id("a");
@@ -59,7 +59,7 @@
   void publish(std::uint64_t revision, std::uint64_t version) {
     const change_batch batch{
         .base_revision = replica.revision(),
-        .revision = revision,
+        .revision = {.number = revision},
         .table = routes::route_table_builder(base::list_version(version)).build()};
     EXPECT_TRUE(replica.apply(batch, "registry"));
   }
@@ -86,7 +86,7 @@
   feed_host peer(io, {});
   peer.replica.apply_snapshot(make_snapshot(), "registry");
   feed_host host(io, {peer.feed_address});
-  ASSERT_TRUE(run_until(io, [&] { return host.replica.revision() == 12; }));
+  ASSERT_TRUE(run_until(io, [&] { return host.replica.revision().number == 12; }));
   EXPECT_EQ(host.state.table->version().value(), 7U);
   EXPECT_EQ(host.replica.snapshot().upstreams, make_snapshot().upstreams);
 }
@@ -98,11 +98,11 @@
   peer.replica.set_watching(true);
   feed_host host(io, {peer.feed_address});
   registry_snapshot newer = make_snapshot();
-  newer.revision = 13;
+  newer.revision = {.number = 13};
   newer.upstreams.clear();
   host.replica.apply_snapshot(newer, "registry");
   ASSERT_TRUE(run_until(io, [&] { return host.client.up_to_date(); }));
-  EXPECT_EQ(host.replica.revision(), 13U);
+  EXPECT_EQ(host.replica.revision().number, 13U);
   EXPECT_EQ(host.replica.snapshot().upstreams.size(), 0U);
 }
 
@@ -113,7 +113,7 @@
     io.run_one_for(milliseconds(10));
   }
   EXPECT_FALSE(host.client.up_to_date());
-  EXPECT_EQ(host.replica.revision(), 0U);
+  EXPECT_EQ(host.replica.revision().number, 0U);
 }
 
 TEST(feed, changes_are_sent_as_batches) {
@@ -124,9 +124,10 @@
   ASSERT_TRUE(run_until(io, [&] { return host.client.up_to_date(); }));
   peer.publish(3, 1);
   peer.publish(8, 2);
-  ASSERT_TRUE(run_until(io, [&] { return host.replica.revision() == 8; }));
+  ASSERT_TRUE(run_until(io, [&] { return host.replica.revision().number == 8; }));
   // The host can relay the batch after revision 3.
-  EXPECT_EQ(host.replica.changes().since(3).value_or(std::vector<change_batch>()).size(), 1U);
+  EXPECT_EQ(
+      host.replica.changes().since({.number = 3}).value_or(std::vector<change_batch>()).size(), 1U);
 }
 
 TEST(feed, full_publisher_refers_to_its_subscribers) {
@@ -140,7 +141,7 @@
   EXPECT_EQ(root.server.subscriber_count(), 1U);
   EXPECT_EQ(relay.server.subscriber_count(), 1U);
   root.publish(5, 1);
-  ASSERT_TRUE(run_until(io, [&] { return downstream.replica.revision() == 5; }));
+  ASSERT_TRUE(run_until(io, [&] { return downstream.replica.revision().number == 5; }));
 }
 
 TEST(feed, one_subscriber_per_other_region_relays_to_the_rest) {
@@ -159,8 +160,8 @@
   EXPECT_EQ(root.server.subscriber_count(), 1U);
   root.publish(5, 1);
   ASSERT_TRUE(run_until(io, [&] {
-    return std::ranges::all_of(remote,
-                               [](const auto& host) { return host->replica.revision() == 5; });
+    return std::ranges::all_of(
+        remote, [](const auto& host) { return host->replica.revision().number == 5; });
   }));
 }
 
@@ -220,7 +221,7 @@
       io, [&] { return first.server.subscriber_count() + second.server.subscriber_count() == 2; }));
   // The first publisher is silent after one message.
   second.publish(4, 2);
-  ASSERT_TRUE(run_until(io, [&] { return host.replica.revision() == 4; }));
+  ASSERT_TRUE(run_until(io, [&] { return host.replica.revision().number == 4; }));
   EXPECT_TRUE(run_until(io, [&] { return host.client.up_to_date(); }));
 }
 
@@ -235,7 +236,7 @@
   relay.replica.apply_snapshot(known, "registry");
   ASSERT_TRUE(relay.replica.lacks_table());
   feed_host downstream(io, {relay.feed_address});
-  ASSERT_TRUE(run_until(io, [&] { return downstream.replica.revision() == 12; }));
+  ASSERT_TRUE(run_until(io, [&] { return downstream.replica.revision().number == 12; }));
   EXPECT_EQ(downstream.state.table->version().value(), 7U);
   EXPECT_TRUE(downstream.replica.lacks_table());
 }
@@ -291,8 +292,8 @@
   routes::route_table_builder builder{base::list_version(2)};
   builder.add(route);
   const auto table = std::move(builder).build();
-  EXPECT_TRUE(root.replica.apply({.revision = 4, .table = table}, "registry"));
-  ASSERT_TRUE(run_until(io, [&] { return host.replica.revision() == 4; }));
+  EXPECT_TRUE(root.replica.apply({.revision = {.number = 4}, .table = table}, "registry"));
+  ASSERT_TRUE(run_until(io, [&] { return host.replica.revision().number == 4; }));
   EXPECT_TRUE(host.replica.lacks_table());
   EXPECT_EQ(host.state.table, nullptr);
   host.client.request_large_tables();
@@ -300,5 +301,37 @@
   EXPECT_EQ(host.state.table->version().value(), 2U);
 }
 
+TEST(feed, subscriber_of_an_earlier_era_receives_a_snapshot) {
+  asio::io_context io;
+  feed_host peer(io, {});
+  peer.replica.set_watching(true);
+  feed_host host(io, {peer.feed_address});
+  peer.publish(90, 3);
+  ASSERT_TRUE(run_until(io, [&] { return host.replica.revision().number == 90; }));
+  registry_snapshot restored = make_snapshot();
+  restored.revision = {base::registry_era(1), 12};
+  peer.replica.apply_snapshot(restored, "registry");
+  ASSERT_TRUE(run_until(io, [&] { return host.replica.revision() == restored.revision; }));
+  EXPECT_EQ(host.state.table->version().value(), 7U);
+}
+
+TEST(feed, publisher_of_an_earlier_era_does_not_pull_a_subscriber_back) {
+  asio::io_context io;
+  feed_host peer(io, {});
+  peer.replica.set_watching(true);
+  peer.publish(90, 3);
+  feed_host host(io, {peer.feed_address});
+  registry_snapshot restored = make_snapshot();
+  restored.revision = {base::registry_era(1), 12};
+  host.replica.apply_snapshot(restored, "registry");
+  ASSERT_TRUE(run_until(io, [&] { return host.client.up_to_date(); }));
+  peer.publish(91, 4);
+  // A host that subscribes later has received the batch: so has the one that subscribed before.
+  feed_host later(io, {peer.feed_address});
+  ASSERT_TRUE(run_until(io, [&] { return later.replica.revision().number == 91; }));
+  EXPECT_EQ(host.replica.revision(), restored.revision);
+  EXPECT_EQ(host.replica.snapshot().upstreams.size(), 1U);
+}
+
 }  // namespace
 }  // namespace catkintack::control
--- a/src/catkintack/control/registry_replica.cpp
+++ b/src/catkintack/control/registry_replica.cpp
@@ -29,6 +29,10 @@
 }
 
 void registry_replica::put(const directory::endpoint& upstream, std::string_view source) {
+  const auto* const known = state_.upstreams.find(upstream.record.id);
+  if (known != nullptr && known->listed.run < upstream.run) {
+    state_.pauses.forget(upstream.record.id);
+  }
   if (state_.upstreams.upsert(upstream, state_.clock())) {
     state_.log.write("upstream_changed", {{"upstream", upstream.record.id.value()},
                                           {"service", upstream.record.service.value()},
@@ -59,7 +63,8 @@
 }
 
 bool registry_replica::apply(const change_batch& batch, std::string_view source) {
-  if (batch.base_revision > revision_) {
+  const bool spans_restore = batch.base_revision.era != batch.revision.era;
+  if (spans_restore || batch.base_revision > revision_) {
     return false;
   }
   newest_table_version_ = std::max(newest_table_version_, batch.announced_table_version);
@@ -91,9 +96,16 @@
   if (snapshot.revision <= revision_) {
     return false;
   }
-  state_.upstreams.replace_all(snapshot.upstreams, state_.clock(), removal_deadline());
+  using listing_kind = directory::endpoint_directory::listing_kind;
+  const bool restored = has_state() && snapshot.revision.era > revision_.era;
+  if (restored) {
+    on_registry_restored(snapshot.revision, source);
+  }
+  state_.upstreams.replace_all(snapshot.upstreams, state_.clock(), removal_deadline(),
+                               restored ? listing_kind::restored : listing_kind::current);
   state_.log.write("upstreams_listed", {{"count", snapshot.upstreams.size()},
-                                        {"revision", snapshot.revision},
+                                        {"era", snapshot.revision.era.value()},
+                                        {"revision", snapshot.revision.number},
                                         {"source", std::string(source)}});
   revision_ = snapshot.revision;
   changes_.reset(revision_);
@@ -101,9 +113,22 @@
   return true;
 }
 
+void registry_replica::on_registry_restored(const registry_revision& restored,
+                                            std::string_view source) {
+  // Entries written since the copy was made are missing until their upstreams write them again.
+  recovered_at_ = state_.clock();
+  state_.log.write("registry_restored", {{"era_before", revision_.era.value()},
+                                         {"era", restored.era.value()},
+                                         {"revision_before", revision_.number},
+                                         {"revision", restored.number},
+                                         {"source", std::string(source)}});
+  state_.metrics.add("registry_restores_total");
+}
+
 void registry_replica::on_registry_lost(std::string_view reason) {
   if (registry_reachable_) {
-    state_.log.write("registry_lost", {{"why", std::string(reason)}, {"revision", revision_}});
+    state_.log.write("registry_lost",
+                     {{"why", std::string(reason)}, {"revision", revision_.number}});
     state_.metrics.add("registry_losses_total");
   }
   registry_reachable_ = false;
@@ -114,7 +139,7 @@
   if (!registry_reachable_) {
     recovered_at_ = state_.clock();
     state_.log.write("registry_reached",
-                     {{"revision", revision_}, {"source", std::string(source)}});
+                     {{"revision", revision_.number}, {"source", std::string(source)}});
   }
   registry_reachable_ = true;
 }
--- a/src/catkintack/control/registry_replica_test.cpp
+++ b/src/catkintack/control/registry_replica_test.cpp
@@ -35,7 +35,7 @@
   /// Applies the next batch of the registry.
   void apply(change_batch batch) {
     batch.base_revision = replica.revision();
-    batch.revision = batch.base_revision + 1;
+    batch.revision = {batch.base_revision.era, batch.base_revision.number + 1};
     EXPECT_TRUE(replica.apply(batch, "registry"));
   }
   void apply(routes::route_table table) { apply({.table = std::move(table)}); }
@@ -86,7 +86,8 @@
   fixture.replica.on_registry_lost("down");
   fixture.now += seconds(5);
   fixture.reach_registry();
-  fixture.replica.apply_snapshot({.revision = 9, .table = {}, .upstreams = {}}, "registry");
+  fixture.replica.apply_snapshot({.revision = {.number = 9}, .table = {}, .upstreams = {}},
+                                 "registry");
   fixture.now += milliseconds(1900);
   fixture.state.upstreams.expire(fixture.now);
   EXPECT_EQ(fixture.usable(), 1U);
@@ -97,13 +98,15 @@
 
 TEST(registry_replica, older_peer_snapshot_is_ignored) {
   replica_fixture fixture;
-  EXPECT_TRUE(fixture.replica.apply({.revision = 7, .changed = {make("a")}}, "registry"));
-  fixture.replica.apply_snapshot({.revision = 7, .table = table_of(3), .upstreams = {}}, "peer");
+  EXPECT_TRUE(
+      fixture.replica.apply({.revision = {.number = 7}, .changed = {make("a")}}, "registry"));
+  fixture.replica.apply_snapshot({.revision = {.number = 7}, .table = table_of(3), .upstreams = {}},
+                                 "peer");
   EXPECT_EQ(fixture.usable(), 1U);
   EXPECT_EQ(fixture.state.table, nullptr);
-  fixture.replica.apply_snapshot({.revision = 8, .table = table_of(3), .upstreams = {make("b")}},
-                                 "peer");
-  EXPECT_EQ(fixture.replica.revision(), 8U);
+  fixture.replica.apply_snapshot(
+      {.revision = {.number = 8}, .table = table_of(3), .upstreams = {make("b")}}, "peer");
+  EXPECT_EQ(fixture.replica.revision().number, 8U);
   EXPECT_EQ(fixture.usable(), 2U);
 }
 
@@ -118,24 +121,26 @@
 
 TEST(registry_replica, duplicate_batch_is_ignored) {
   replica_fixture fixture;
-  const change_batch batch{.revision = 4, .changed = {make("a")}};
+  const change_batch batch{.revision = {.number = 4}, .changed = {make("a")}};
   EXPECT_TRUE(fixture.replica.apply(batch, "one"));
-  EXPECT_TRUE(fixture.replica.apply(
-      {.base_revision = 4, .revision = 5, .removed = {base::upstream_id("a")}}, "one"));
+  EXPECT_TRUE(fixture.replica.apply({.base_revision = {.number = 4},
+                                     .revision = {.number = 5},
+                                     .removed = {base::upstream_id("a")}},
+                                    "one"));
   EXPECT_TRUE(fixture.replica.apply(batch, "other"));
   fixture.now += seconds(2);
   fixture.state.upstreams.expire(fixture.now);
   EXPECT_EQ(fixture.usable(), 0U);
-  EXPECT_EQ(fixture.replica.revision(), 5U);
+  EXPECT_EQ(fixture.replica.revision().number, 5U);
 }
 
 TEST(registry_replica, batch_after_a_gap_is_rejected) {
   replica_fixture fixture;
-  EXPECT_TRUE(fixture.replica.apply({.revision = 4, .changed = {make("a")}}, "one"));
-  EXPECT_FALSE(
-      fixture.replica.apply({.base_revision = 6, .revision = 7, .changed = {make("b")}}, "one"));
+  EXPECT_TRUE(fixture.replica.apply({.revision = {.number = 4}, .changed = {make("a")}}, "one"));
+  EXPECT_FALSE(fixture.replica.apply(
+      {.base_revision = {.number = 6}, .revision = {.number = 7}, .changed = {make("b")}}, "one"));
   EXPECT_EQ(fixture.usable(), 1U);
-  EXPECT_EQ(fixture.replica.revision(), 4U);
+  EXPECT_EQ(fixture.replica.revision().number, 4U);
 }
 
 TEST(registry_replica, age_grows_unless_the_registry_is_watched) {
@@ -159,5 +164,58 @@
   EXPECT_EQ(fixture.lines.size(), 2U);
 }
 
+TEST(registry_replica, snapshot_of_a_later_era_replaces_higher_revision_numbers) {
+  replica_fixture fixture;
+  EXPECT_TRUE(fixture.replica.apply(
+      {.revision = {.number = 90}, .table = table_of(5), .changed = {make("a"), make("b")}},
+      "one"));
+  fixture.replica.apply_snapshot(
+      {.revision = {base::registry_era(1), 40}, .table = table_of(4), .upstreams = {make("a")}},
+      "one");
+  EXPECT_EQ(fixture.replica.revision(), (registry_revision{base::registry_era(1), 40}));
+  // The newest routes stay in force, and missing upstreams have time to write their entries again.
+  EXPECT_EQ(fixture.state.table->version().value(), 5U);
+  fixture.now += milliseconds(1999);
+  EXPECT_EQ(fixture.usable(), 2U);
+  fixture.now += milliseconds(1);
+  EXPECT_EQ(fixture.usable(), 1U);
+}
+
+TEST(registry_replica, late_message_of_an_earlier_era_changes_nothing) {
+  replica_fixture fixture;
+  const registry_revision restored{base::registry_era(2), 10};
+  fixture.replica.apply_snapshot({.revision = restored, .table = {}, .upstreams = {make("a")}},
+                                 "one");
+  const registry_revision before{base::registry_era(1), 500};
+  const registry_revision after{base::registry_era(1), 501};
+  EXPECT_TRUE(fixture.replica.apply(
+      {.base_revision = before, .revision = after, .removed = {base::upstream_id("a")}}, "late"));
+  EXPECT_FALSE(
+      fixture.replica.apply_snapshot({.revision = after, .table = {}, .upstreams = {}}, "late"));
+  fixture.now += seconds(5);
+  EXPECT_EQ(fixture.usable(), 1U);
+  EXPECT_EQ(fixture.replica.revision(), restored);
+}
+
+TEST(registry_replica, batch_of_a_later_era_needs_a_snapshot_first) {
+  replica_fixture fixture;
+  fixture.put("a");
+  const registry_revision base{base::registry_era(1), 0};
+  EXPECT_FALSE(fixture.replica.apply(
+      {.base_revision = base, .revision = {base::registry_era(1), 1}, .changed = {make("b")}},
+      "one"));
+  EXPECT_FALSE(fixture.replica.apply({.revision = {base::registry_era(1), 1}}, "one"));
+  EXPECT_EQ(fixture.usable(), 1U);
+}
+
+TEST(registry_replica, upstream_removed_before_a_restore_stays_out) {
+  replica_fixture fixture;
+  fixture.put("a");
+  fixture.apply({.removed = {base::upstream_id("a")}});
+  fixture.replica.apply_snapshot(
+      {.revision = {base::registry_era(1), 1}, .table = {}, .upstreams = {make("a")}}, "one");
+  EXPECT_EQ(fixture.usable(), 0U);
+}
+
 }  // namespace
 }  // namespace catkintack::control
--- a/src/catkintack/directory/endpoint_directory.cpp
+++ b/src/catkintack/directory/endpoint_directory.cpp
@@ -3,9 +3,25 @@
 #include <algorithm>
 
 namespace catkintack::directory {
+namespace {
 
-bool endpoint_directory::upsert(const endpoint& added, base::instant now) {
+// An upstream that is gone loses its entry again within a few missed heartbeats of the restored
+// registry. One that is alive and has nothing new to write gets work after this.
+constexpr base::duration restored_entry_hold = std::chrono::seconds(15);
+
+bool accepts_work(const endpoint_directory::known_endpoint& entry, base::instant now) {
+  return !entry.listed.record.leaving && now < entry.expires_at && now >= entry.unconfirmed_until;
+}
+
+}  // namespace
+
+bool endpoint_directory::upsert(const endpoint& listed, base::instant now) {
+  endpoint added = listed;
   const base::upstream_id& id = added.record.id;
+  added.record.leaving = added.record.leaving || departures_.announced(id, added.run);
+  if (added.record.leaving) {
+    departures_.record(id, added.run, departure_reason::announced, now);
+  }
   const auto found = entries_.find(id);
   if (found == entries_.end()) {
     entries_.emplace(id, known_endpoint{added, now, now + added.warm_up_left});
@@ -17,13 +33,15 @@
     return false;
   }
   const bool restarted = current.listed.run < added.run;
-  const bool changed = !(current.listed == added) || current.expires_at != base::instant::max();
+  const bool changed = !(current.listed == added) || current.expires_at != base::instant::max() ||
+                       now < current.unconfirmed_until;
   if (current.listed.record.service != added.record.service) {
     by_service_[current.listed.record.service].erase(id);
     by_service_[added.record.service].insert(id);
   }
   current.listed = added;
   current.expires_at = base::instant::max();
+  current.unconfirmed_until = base::instant::min();
   current.warm_up_until = now + added.warm_up_left;
   if (restarted) {
     current.first_seen = now;
@@ -38,23 +56,48 @@
   }
 }
 
-bool endpoint_directory::remove(const base::upstream_id& id) {
+bool endpoint_directory::mark_leaving(const base::upstream_id& id, base::instant now) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end() || found->second.listed.record.leaving) {
+    return false;
+  }
+  departures_.record(id, found->second.listed.run, departure_reason::announced, now);
+  found->second.listed.record.leaving = true;
+  return true;
+}
+
+bool endpoint_directory::remove(const base::upstream_id& id, base::instant now) {
   const auto found = entries_.find(id);
   if (found == entries_.end()) {
     return false;
   }
+  departures_.record(id, found->second.listed.run, departure_reason::entry_removed, now);
   by_service_[found->second.listed.record.service].erase(id);
   entries_.erase(found);
   return true;
 }
 
+bool endpoint_directory::was_removed(const endpoint& entry) const {
+  const auto found = entries_.find(entry.record.id);
+  if (found == entries_.end()) {
+    return departures_.departed(entry.record.id, entry.run);
+  }
+  // An entry that awaits its removal was removed from the registry as well.
+  return entry.run <= found->second.listed.run && found->second.expires_at != base::instant::max();
+}
+
 void endpoint_directory::replace_all(const std::vector<endpoint>& listed,
                                      base::instant now,
-                                     base::instant missing_expire_at) {
+                                     base::instant missing_expire_at,
+                                     listing_kind kind) {
   std::set<base::upstream_id> listed_ids;
   for (const endpoint& entry : listed) {
     listed_ids.insert(entry.record.id);
+    const bool hold_back = kind == listing_kind::restored && was_removed(entry);
     upsert(entry, now);
+    if (hold_back) {
+      entries_.at(entry.record.id).unconfirmed_until = now + restored_entry_hold;
+    }
   }
   for (auto& [id, current] : entries_) {
     if (!listed_ids.contains(id)) {
@@ -72,8 +115,9 @@
     }
   }
   for (const base::upstream_id& id : expired) {
-    remove(id);
+    remove(id, now);
   }
+  departures_.expire(now);
   return expired;
 }
 
@@ -87,13 +131,18 @@
   }
   for (const base::upstream_id& id : service_ids->second) {
     const known_endpoint& current = entries_.at(id);
-    if (!current.listed.record.leaving && now < current.expires_at) {
+    if (accepts_work(current, now)) {
       result.push_back(&current);
     }
   }
   return result;
 }
 
+bool endpoint_directory::is_available(const base::upstream_id& id, base::instant now) const {
+  const known_endpoint* const entry = find(id);
+  return entry != nullptr && accepts_work(*entry, now);
+}
+
 const endpoint_directory::known_endpoint* endpoint_directory::find(
     const base::upstream_id& id) const {
   const auto found = entries_.find(id);
--- a/src/catkintack/directory/endpoint_directory_test.cpp
+++ b/src/catkintack/directory/endpoint_directory_test.cpp
@@ -92,5 +92,60 @@
   EXPECT_EQ(directory.find(base::upstream_id("a"))->warm_up_until, start + seconds(3));
 }
 
+TEST(endpoint_directory, announced_departure_outlasts_a_listing_as_ready) {
+  endpoint_directory directory;
+  directory.upsert(make("a"), start);
+  EXPECT_TRUE(directory.mark_leaving(base::upstream_id("a"), start));
+  EXPECT_FALSE(directory.mark_leaving(base::upstream_id("a"), start));
+  directory.upsert(make("a"), start + seconds(1));
+  EXPECT_TRUE(directory.available(press, start + seconds(1)).empty());
+  EXPECT_FALSE(directory.is_available(base::upstream_id("a"), start + seconds(1)));
+  directory.upsert(make("a", 2), start + seconds(2));
+  EXPECT_EQ(directory.available(press, start + seconds(2)).size(), 1U);
+}
+
+TEST(endpoint_directory, announced_departure_outlasts_the_removal_of_the_entry) {
+  endpoint_directory directory;
+  directory.upsert(make("a", 1, true), start);
+  directory.replace_all({}, start, start);
+  EXPECT_EQ(directory.size(), 0U);
+  directory.upsert(make("a"), start + seconds(3));
+  EXPECT_TRUE(directory.available(press, start + seconds(3)).empty());
+}
+
+// A registry restored from an older copy lists upstreams that have left since.
+TEST(endpoint_directory, restored_entry_of_a_removed_upstream_is_held_back) {
+  using listing_kind = endpoint_directory::listing_kind;
+  endpoint_directory directory;
+  directory.upsert(make("gone"), start);
+  directory.upsert(make("kept"), start);
+  directory.replace_all({make("kept")}, start, start);
+  const base::instant restored = start + seconds(2);
+  directory.replace_all({make("gone"), make("kept")}, restored, restored, listing_kind::restored);
+  ASSERT_EQ(directory.available(press, restored + seconds(14)).size(), 1U);
+  EXPECT_EQ(directory.available(press, restored)[0]->listed.record.id.value(), "kept");
+  EXPECT_EQ(directory.available(press, restored + seconds(15)).size(), 2U);
+}
+
+TEST(endpoint_directory, restored_entry_that_is_written_again_gets_work) {
+  using listing_kind = endpoint_directory::listing_kind;
+  endpoint_directory directory;
+  directory.upsert(make("a"), start);
+  directory.expire_at(base::upstream_id("a"), start + seconds(2));
+  directory.replace_all({make("a")}, start, start, listing_kind::restored);
+  EXPECT_TRUE(directory.available(press, start).empty());
+  EXPECT_TRUE(directory.upsert(make("a"), start + seconds(1)));
+  EXPECT_EQ(directory.available(press, start + seconds(1)).size(), 1U);
+}
+
+TEST(endpoint_directory, restored_entry_of_a_later_incarnation_is_not_held_back) {
+  using listing_kind = endpoint_directory::listing_kind;
+  endpoint_directory directory;
+  directory.upsert(make("a", 1), start);
+  directory.replace_all({}, start, start);
+  directory.replace_all({make("a", 2)}, start, start, listing_kind::restored);
+  EXPECT_EQ(directory.available(press, start).size(), 1U);
+}
+
 }  // namespace
 }  // namespace catkintack::directory
--- a/src/catkintack/serving/call_runner.cpp
+++ b/src/catkintack/serving/call_runner.cpp
@@ -117,6 +117,7 @@
   state.in_flight.end(selection.upstream, started_at);
   const base::duration elapsed = state.clock() - started_at;
   state.metrics.add("attempts_total{outcome=\"" + std::string(to_text(attempt.outcome)) + "\"}");
+  apply_notice(state, selection.upstream, attempt.notice);
   log_attempt(state, served, selection, attempt, elapsed);
   record_outcome(state, served, selection, attempt, elapsed);
   if (!attempt.body_parser && attempt.connection) {
--- a/src/catkintack/serving/exchange.cpp
+++ b/src/catkintack/serving/exchange.cpp
@@ -69,8 +69,11 @@
 }
 
 /// @brief Reads response heads until one belongs to the call; discards responses to earlier calls.
-asio::awaitable<std::pair<std::unique_ptr<response_parser>, error_code>>
-read_head(upstream_connection& connection, const call& sent, const upstream_protocol& protocol) {
+asio::awaitable<std::pair<std::unique_ptr<response_parser>, error_code>> read_head(
+    upstream_connection& connection,
+    const call& sent,
+    const upstream_protocol& protocol,
+    upstream_notice& notice) {
   for (int stray = 0; stray <= max_stray_responses;) {
     auto parser = std::make_unique<response_parser>();
     parser->body_limit(boost::none);
@@ -83,6 +86,10 @@
     if (parser->get().result_int() < status::ok) {
       continue;
     }
+    const upstream_notice read =
+        read_notice(parser->get().result_int(), parser->get().base(), protocol);
+    notice.leaving = notice.leaving || read.leaving;
+    notice.pause = std::max(notice.pause, read.pause);
     if (!is_stray(*parser, sent, protocol)) {
       co_return std::pair{std::move(parser), error_code{}};
     }
@@ -113,8 +120,7 @@
                           const call& sent,
                           const upstream_protocol& protocol,
                           std::string& detail) {
-  constexpr unsigned misdirected = 421;
-  if (result.headers.count(protocol.not_run) > 0 || result.status == misdirected) {
+  if (result.headers.count(protocol.not_run) > 0 || result.status == status::misdirected) {
     detail = "upstream reported that it did not run the call";
     return exchange_outcome::not_run;
   }
@@ -193,7 +199,7 @@
   }
   // A response may be available even if sending failed: an upstream can reject a body before it has
   // been received completely.
-  auto [parser, read_error] = co_await read_head(upstream, sent, protocol);
+  auto [parser, read_error] = co_await read_head(upstream, sent, protocol, result.notice);
   if (!parser) {
     sent.active_connections.erase(&upstream);
     co_return failed_exchange(std::move(result), sent, read_error, "answer head");
@@ -208,6 +214,10 @@
   result.reason = std::string(to_string_view(parser->get().reason()));
   result.headers = parser->get().base();
   upstream.idle_timeout = announced_idle_timeout(result.headers);
+  if (result.status == status::misdirected) {
+    // Another upstream answered at this address; what it says is not about the expected one.
+    result.notice = {};
+  }
   result.outcome = classify(result, sent, protocol, result.detail);
   if (!parser->is_done()) {
     result.body_parser = std::move(parser);
--- a/src/catkintack/serving/frontend_server.cpp
+++ b/src/catkintack/serving/frontend_server.cpp
@@ -89,6 +89,7 @@
     for (const base::upstream_id& id : state_.upstreams.expire(now)) {
       state_.pool.close_all(id);
       state_.outlier_detector.forget(id);
+      state_.pauses.forget(id);
       state_.log.write("upstream_expired", {{"upstream", id.value()}});
     }
     sessions_.remove_if([](const auto& session) { return session.expired(); });
--- a/src/catkintack/serving/probe_round.cpp
+++ b/src/catkintack/serving/probe_round.cpp
@@ -8,6 +8,7 @@
 
 #include "catkintack/serving/http_message.hpp"
 #include "catkintack/serving/status.hpp"
+#include "catkintack/serving/upstream_notice.hpp"
 
 namespace catkintack::serving {
 namespace {
@@ -136,6 +137,12 @@
     connection.close();
     co_return false;
   }
+  const auto& head = parser.get();
+  apply_notice(state_, target.id, read_notice(head.result_int(), head.base(), names));
+  if (!state_.accepts_requests(target.id)) {
+    connection.close();
+    co_return false;
+  }
   record_response(parser, target);
   if (!parser.keep_alive()) {
     connection.close();
@@ -154,14 +161,15 @@
   bool answered = false;
   // A pooled connection may be dead although the upstream is healthy, so the probe is repeated
   // until it has been tried on a new connection.
-  for (int left = max_connection_attempts; left > 0 && reused && !answered; --left) {
+  for (int left = max_connection_attempts;
+       left > 0 && reused && !answered && state_.accepts_requests(target.id); --left) {
     connection = co_await connect(target.id, limit, reused);
     if (connection) {
       answered = co_await send_probe(*connection, health_path, limit, target);
     }
   }
   const base::instant now = state_.clock();
-  if (!answered) {
+  if (!answered && state_.accepts_requests(target.id)) {
     state_.metrics.add("probes_failed_total");
     state_.outlier_detector.on_failure(target.id, now);
     target.outlier = true;
--- /dev/null
+++ b/src/catkintack/serving/upstream_notice_test.cpp
@@ -0,0 +1,56 @@
+#include "catkintack/serving/upstream_notice.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "catkintack/serving/io.hpp"
+
+namespace catkintack::serving {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST(upstream_notice, retry_after_takes_seconds_with_a_fraction) {
+  EXPECT_EQ(parse_retry_after("3"), seconds(3));
+  EXPECT_EQ(parse_retry_after("0.25"), milliseconds(250));
+  EXPECT_EQ(parse_retry_after("0"), seconds(0));
+}
+
+TEST(upstream_notice, unusable_retry_after_is_ignored) {
+  for (const char* text : {"", "-1", "soon", "1s", "1e3", "nan", "inf", "1 2", " 1",
+                           "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+    EXPECT_FALSE(parse_retry_after(text)) << text;
+  }
+}
+
+TEST(upstream_notice, retry_after_is_bounded) {
+  EXPECT_EQ(parse_retry_after("1000000000"), std::chrono::hours(24));
+  EXPECT_EQ(parse_retry_after(std::string(400, '9')), std::chrono::hours(24));
+}
+
+RC_GTEST_PROP(upstream_notice, retry_after_of_any_bytes_is_bounded, (const std::string& text)) {
+  const auto parsed = parse_retry_after(text);
+  RC_ASSERT(!parsed || (*parsed >= base::duration::zero() && *parsed <= std::chrono::hours(24)));
+}
+
+TEST(upstream_notice, only_a_refusal_with_503_asks_for_a_pause) {
+  http::fields headers;
+  headers.set(http::field::retry_after, "2");
+  EXPECT_EQ(read_notice(503, headers, {}).pause, seconds(2));
+  EXPECT_FALSE(read_notice(200, headers, {}).pause);
+  EXPECT_FALSE(read_notice(429, headers, {}).pause);
+}
+
+TEST(upstream_notice, leaving_is_read_from_any_status) {
+  http::fields headers;
+  EXPECT_FALSE(read_notice(200, headers, {}).leaving);
+  headers.set("Catkintack-Leaving", "1");
+  EXPECT_TRUE(read_notice(200, headers, {}).leaving);
+  EXPECT_TRUE(read_notice(500, headers, {}).leaving);
+  headers.set("catkintack-leaving", "0");
+  EXPECT_FALSE(read_notice(200, headers, {}).leaving);
+}
+
+}  // namespace
+}  // namespace catkintack::serving
--- a/src/catkintack/serving/upstream_selection.cpp
+++ b/src/catkintack/serving/upstream_selection.cpp
@@ -36,7 +36,8 @@
   for (const auto* const endpoint : state.upstreams.available(service, now)) {
     const routing::upstream_record& record = endpoint->listed.record;
     const upstream_distance where = distance_to(record, state.options);
-    if ((where == upstream_distance::other_region) != other_regions || tried.contains(record.id)) {
+    if ((where == upstream_distance::other_region) != other_regions || tried.contains(record.id) ||
+        state.pauses.end_of(record.id, now)) {
       continue;
     }
     result.push_back({.id = record.id,
@@ -48,6 +49,20 @@
   return result;
 }
 
+/// @brief Returns the time until the first paused upstream of a service accepts requests again, or
+/// nothing if none is paused.
+std::optional<base::duration> time_until_resumed(const traffic_state& state,
+                                                 const base::service_id& service) {
+  const base::instant now = state.clock();
+  std::optional<base::duration> result;
+  for (const auto* const endpoint : state.upstreams.available(service, now)) {
+    if (const auto end = state.pauses.end_of(endpoint->listed.record.id, now)) {
+      result = std::min(result.value_or(*end - now), *end - now);
+    }
+  }
+  return result;
+}
+
 std::string format_candidates(const std::vector<candidate>& candidates) {
   std::string text;
   for (const candidate& one : candidates) {
@@ -150,6 +165,13 @@
       auto remote = list_candidates(state_, service_, tried_, true);
       co_await probe_and_place(std::move(remote), search_scope::everywhere);
     }
+    const auto resumed_in = time_until_resumed(state_, service_);
+    if (result.decision.action != choice::placement_action::send && resumed_in &&
+        probed_candidates().empty()) {
+      result.decision = choice::place_paused_call(
+          *resumed_in, build_call_requirements(state_, served_, started_at_),
+          state_.options.placement, state_.random);
+    }
   }
 
   /// @brief Obtains a connection to the selected upstream; leaves it null if the upstream cannot be
@@ -167,6 +189,10 @@
     if (!result.connection || !result.connection->reusable()) {
       result.connection = co_await connect_to(state_, executor_, result.upstream);
     }
+    if (result.connection && !state_.accepts_requests(result.upstream)) {
+      // The upstream announced a pause or its departure while the connection was being opened.
+      state_.pool.release(std::move(result.connection), state_.clock());
+    }
   }
 
   /// @brief Returns the connections of the probes to the pool.
