--- a/include/catkintack/control/registry_replica.hpp
+++ b/include/catkintack/control/registry_replica.hpp
@@ -62,6 +62,8 @@
   /// @brief Returns the time since the registry confirmed the state of this replica.
   base::duration age() const;
 
+  /// @brief Whether any state of the registry has been applied.
+  bool has_state() const { return revision_ != registry_revision{}; }
   /// @brief Returns the registry revision of this replica.
   registry_revision revision() const { return revision_; }
   /// @brief Returns the most recent changes, for hosts that are behind.
@@ -75,8 +77,6 @@
  private:
   void put(const directory::endpoint& upstream, std::string_view source);
   void remove(const base::upstream_id& id, std::string_view source);
-  /// @brief Whether any state of the registry has been applied.
-  bool has_state() const { return revision_ != registry_revision{}; }
   void on_registry_restored(const registry_revision& restored, std::string_view source);
   base::instant removal_deadline() const;
   void notify_change() const;
