Keep the whole fleet attached to the seeds

Hosts that connected before the seeds had listed the store left them at the first message ('it has lost the registry'), all 64 subscribers of a seed within 1 ms. The seeds noticed a closed connection only at their next message and referred everyone else to the hosts that had left. Those then informed each other by watching the store in turn, and nothing led them back to a seed.

Change: a publisher without state is kept while it starts; a closed subscription frees its place at once; hop counts begin at seeds only, and a host whose first publisher has no path to a seed for 2 s tries the seeds again.

--- a/include/catkintack/control/feed_client.hpp
+++ b/include/catkintack/control/feed_client.hpp
@@ -28,9 +28,12 @@
   base::duration max_age = std::chrono::milliseconds(2000);
   /// A publisher whose state is older than this is replaced by another.
   base::duration publisher_max_age = std::chrono::seconds(6);
-  /// Breaks subscription cycles: the hop count of hosts in a cycle rises to this limit, and then
-  /// they look for other publishers.
+  /// Hop count above which a publisher counts as detached from the seeds: the count of hosts in a
+  /// subscription cycle, or below a host that lost its publishers, rises to this limit.
   std::uint32_t max_hops = 6;
+  /// A detached publisher is kept for this long, as it may be up to date because a host above it
+  /// watches the registry for the time being. Then the first subscription tries the seeds again.
+  base::duration detached_timeout = std::chrono::seconds(2);
   base::duration connect_timeout = std::chrono::milliseconds(500);
   base::duration initial_backoff = std::chrono::milliseconds(200);  ///< After one lost publisher.
   base::duration max_backoff = std::chrono::seconds(2);  ///< After several lost in a row.
@@ -63,7 +66,9 @@
     base::address publisher;  ///< Empty while there is no subscription.
     /// Hosts to try next, named by a publisher without capacity.
     std::vector<base::address> referrals;
+    base::instant subscribed_at = base::instant::min();
     base::instant confirmed_at = base::instant::min();
+    base::instant attached_at = base::instant::min();  ///< Last message within the hop limit.
     std::uint32_t hops = 0;
     std::unique_ptr<serving::upstream_connection> connection;
     boost::asio::steady_timer timer;
@@ -75,6 +80,7 @@
   boost::asio::awaitable<bool> receive_message(publisher_slot& slot, std::string& reason);
   std::string subscription() const;
   bool handle_message(publisher_slot& slot, feed_message message, std::string& reason);
+  std::string reason_to_leave(const publisher_slot& slot, base::duration age) const;
   base::address choose_publisher(publisher_slot& slot);
   void drop_publisher(publisher_slot& slot, const std::string& reason);
   void update_status();
--- a/include/catkintack/control/feed_message.hpp
+++ b/include/catkintack/control/feed_message.hpp
@@ -31,7 +31,7 @@
 
 /// @brief Sent on each change, and periodically as a heartbeat.
 struct feed_message {
-  std::uint32_t hops = 0;   ///< Hosts between the publisher and one that watches the registry.
+  std::uint32_t hops = 0;   ///< Hosts between the publisher and a seed that watches the registry.
   std::int64_t age_us = 0;  ///< Time since the registry confirmed the state, in microseconds.
   std::vector<change_batch> batches{};  ///< Changes since the previous message.
   /// Replaces the batches for a host that is too far behind.
--- a/include/catkintack/control/feed_server.hpp
+++ b/include/catkintack/control/feed_server.hpp
@@ -17,8 +17,8 @@
 
 /// @brief Limits of a feed server.
 struct feed_server_options {
-  /// Concurrent subscribers; further hosts are referred to these. A region of 60 hosts with a seed
-  /// needs one tier of relays; each further tier adds to the age of the state.
+  /// Concurrent subscribers; further hosts are referred to these. Each further tier of relays adds
+  /// to the age of the state.
   std::size_t max_subscribers = 64;
   /// Subscribers in each other region, not counting those that watch the registry themselves. They
   /// relay to the rest of their region, as traffic between regions is charged by volume.
@@ -65,10 +65,13 @@
     base::instant sent_at = base::instant::min();
     bool wants_large_tables = false;
     bool pending_change = false;  ///< A change arrived while a message was being sent.
+    bool gone = false;            ///< The subscriber closed its connection.
   };
 
   boost::asio::awaitable<void> serve(boost::beast::tcp_stream stream);
   boost::asio::awaitable<void> publish(boost::beast::tcp_stream& stream, subscriber& host);
+  static void watch_for_close(boost::beast::tcp_stream& stream,
+                              const std::shared_ptr<subscriber>& host);
   void strip_large_tables(feed_message& message) const;
   std::string next_message(subscriber& host) const;
   bool has_capacity_for(const feed_subscription& request) const;
--- a/include/catkintack/control/registry_replica.hpp
+++ b/include/catkintack/control/registry_replica.hpp
@@ -20,6 +20,9 @@
   base::duration removal_grace = std::chrono::milliseconds(1000);
   /// How long entries that expired during a registry outage have to reappear after it.
   base::duration recovery_grace = std::chrono::milliseconds(2000);
+  /// Whether this host is a seed. Hop counts start at the seeds: other hosts watch the registry
+  /// only for the time being.
+  bool is_seed = false;
 };
 
 /// @brief A local replica of the registry; the only writer of routes and upstreams. Not
@@ -54,11 +57,11 @@
 
   /// @brief Sets whether this host has a pending watch at the registry.
   void set_watching(bool watching);
-  /// @brief Sets the number of hosts between this one and one that watches the registry, as
+  /// @brief Sets the number of hosts between this one and a seed that watches the registry, as
   /// reported by the publishers.
   void set_publisher_hops(std::uint32_t hops) { hops_ = hops; }
-  /// @brief Returns that number; 0 while this host watches the registry itself.
-  std::uint32_t hops() const { return watching_ ? 0 : hops_; }
+  /// @brief Returns that number; 0 while this host is a seed that watches the registry.
+  std::uint32_t hops() const { return watching_ && options_.is_seed ? 0 : hops_; }
   /// @brief Returns the time since the registry confirmed the state of this replica.
   base::duration age() const;
 
--- a/src/catkintack/control/feed_client.cpp
+++ b/src/catkintack/control/feed_client.cpp
@@ -110,16 +110,25 @@
   if (up_to_date()) {
     replica_.on_registry_reached(slot.confirmed_at, source);
   }
+  if (message.hops <= options_.max_hops) {
+    slot.attached_at = state_.clock();
+  }
   update_status();
-  if (message.hops > options_.max_hops) {
-    reason = "it is too far from the registry";
-    return false;
+  reason = reason_to_leave(slot, age);
+  return reason.empty();
+}
+
+std::string feed_client::reason_to_leave(const publisher_slot& slot, base::duration age) const {
+  const base::instant now = state_.clock();
+  // A publisher that starts at the same time as this host has no state yet.
+  if (age > options_.publisher_max_age && now - slot.subscribed_at > options_.publisher_max_age) {
+    return "it has lost the registry";
   }
-  if (age > options_.publisher_max_age) {
-    reason = "it has lost the registry";
-    return false;
+  const bool first = &slot == slots_.front().get();
+  if (first && now - std::max(slot.attached_at, slot.subscribed_at) > options_.detached_timeout) {
+    return "it is detached from the seeds";
   }
-  return true;
+  return {};
 }
 
 asio::awaitable<bool> feed_client::receive_message(publisher_slot& slot, std::string& reason) {
@@ -168,6 +177,7 @@
   if (send_error) {
     co_return send_error.message();
   }
+  slot.subscribed_at = state_.clock();
   std::string reason;
   for (;;) {
     const bool accepted = co_await receive_message(slot, reason);
@@ -187,6 +197,7 @@
   slot.connection.reset();
   slot.publisher = {};
   slot.confirmed_at = base::instant::min();
+  slot.attached_at = base::instant::min();
   ++slot.failures;
   if (followed) {
     update_status();
--- a/src/catkintack/control/feed_server.cpp
+++ b/src/catkintack/control/feed_server.cpp
@@ -114,8 +114,19 @@
   return encode(message);
 }
 
+void feed_server::watch_for_close(beast::tcp_stream& stream,
+                                  const std::shared_ptr<subscriber>& host) {
+  stream.socket().async_wait(asio::ip::tcp::socket::wait_read, [host](const error_code& error) {
+    // A subscriber sends nothing after its subscription, so that only a close is readable.
+    if (!error) {
+      host->gone = true;
+      host->timer.cancel();
+    }
+  });
+}
+
 asio::awaitable<void> feed_server::publish(beast::tcp_stream& stream, subscriber& host) {
-  for (;;) {
+  while (!host.gone) {
     host.pending_change = false;
     host.sent_at = state_.clock();
     std::string body = next_message(host);
@@ -126,7 +137,7 @@
                        {{"host", base::to_string(host.feed_address)}, {"why", error.message()}});
       co_return;
     }
-    if (!host.pending_change) {
+    if (!host.pending_change && !host.gone) {
       // A relay forwards each message of its publisher as it arrives. A heartbeat of its own in
       // between would only repeat the time at which the registry last confirmed the state, which is
       // known.
@@ -163,6 +174,7 @@
   host->sent_revision = request->known_revision;
   host->wants_large_tables = request->wants_large_tables;
   subscribers_.push_back(host);
+  watch_for_close(stream, host);
   state_.metrics.set("subscribers", static_cast<double>(subscribers_.size()));
   co_await publish(stream, *host);
   subscribers_.remove(host);
