Divide the resend slack of a large fleet by its size

With 472 hosts and a slack of 630 they could resend 991 times in a window beyond the ratio, and as often again from full buckets. Change: a slack above 150 is divided by itself, as a deployment grants at least one resend for each host; the unused set_host_count is gone. Smaller slacks give the same share as before. Test: resend_storm_of_a_large_fleet, failed before (every window of the storm above 630), passes.

--- a/include/catkintack/limits/resend_budget.hpp
+++ b/include/catkintack/limits/resend_budget.hpp
@@ -26,8 +26,6 @@
  public:
   explicit resend_budget(resend_budget_options options = {}) : options_(options) {}
 
-  /// @brief Sets the number of hosts that share the slack. The highest number seen is used.
-  void set_host_count(std::size_t hosts);
   /// @brief Counts a request, which adds `ratio` tokens, less a margin, to the bucket of its
   /// service.
   void on_request(const base::service_id& service, base::instant now);
@@ -45,7 +43,6 @@
   bucket& refilled_bucket(const base::service_id& service, base::instant now);
 
   resend_budget_options options_;
-  double hosts_ = 150;  ///< Until hosts are known: size of the largest deployment.
   std::map<base::service_id, bucket> buckets_;
 };
 
--- a/src/catkintack/limits/resend_budget.cpp
+++ b/src/catkintack/limits/resend_budget.cpp
@@ -10,15 +10,16 @@
 constexpr double ratio_utilization = 0.8;
 // The slack is divided into two equal parts: the capacity of a bucket, and its refill per window.
 constexpr double slack_parts = 2.0;
+// Number of hosts that share a small slack. A larger slack is granted to a larger fleet, with at
+// least one resend for each host.
+constexpr double min_hosts = 150;
 
 }  // namespace
 
-void resend_budget::set_host_count(std::size_t hosts) {
-  hosts_ = std::max(hosts_, static_cast<double>(hosts));
+double resend_budget::host_slack_share() const {
+  return options_.slack / std::max(options_.slack, min_hosts) / slack_parts;
 }
 
-double resend_budget::host_slack_share() const { return options_.slack / hosts_ / slack_parts; }
-
 resend_budget::bucket& resend_budget::refilled_bucket(const base::service_id& service,
                                                       base::instant now) {
   const auto [found, inserted] = buckets_.try_emplace(service, bucket{0, now});
--- a/src/catkintack/limits/resend_budget_test.cpp
+++ b/src/catkintack/limits/resend_budget_test.cpp
@@ -4,6 +4,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <memory>
+#include <numeric>
 #include <vector>
 
 namespace catkintack::limits {
@@ -86,5 +87,26 @@
   check_all_windows(sends, options);
 }
 
+// A fleet in which every host resends as often as its budget allows, with no new requests.
+TEST(resend_storm_of_a_large_fleet, stays_within_the_slack_in_every_window) {
+  const resend_budget_options options{.ratio = 0.2, .slack = 630, .window = seconds(10)};
+  constexpr int hosts = 472;
+  constexpr int windows = 6;
+  std::vector<resend_budget> budgets(hosts, resend_budget(options));
+  std::vector<int> resends_at;  // By second.
+  for (int second = 0; second < 10 * windows; ++second) {
+    resends_at.push_back(0);
+    for (resend_budget& budget : budgets) {
+      while (budget.try_spend(press, start + seconds(second))) {
+        ++resends_at.back();
+      }
+    }
+  }
+  for (std::size_t first = 0; first + 10 <= resends_at.size(); ++first) {
+    const auto begin = resends_at.begin() + static_cast<std::ptrdiff_t>(first);
+    EXPECT_LE(std::accumulate(begin, begin + 10, 0), options.slack) << "from second " << first;
+  }
+}
+
 }  // namespace
 }  // namespace catkintack::limits
