Send route changes as differences, over relays of the own failure domain, compressed once

Cause: tables of more than 200 routes were only announced and then read from the store by every host: an edit in a morning of 1,400 routes cost 472 readings of the whole configuration, two thirds of them between regions.

Change: a small change of the table travels as a difference (routes/route_table_delta) and is applied to exactly its base version; a host with another version gets the table from the next step of its publishers, or reads it after 250 ms. Tables up to 5,000 routes are sent; messages above 2 KB are deflated (zlib), once for all subscribers that need the same changes. A publisher takes three subscribers of each other failure domain and refers the rest to them.

Ruled out: differences to a range of versions: a route that was changed and changed back in between would be wrong at a host that saw the middle.

--- a/include/catkintack/control/change_batch.hpp
+++ b/include/catkintack/control/change_batch.hpp
@@ -10,6 +10,7 @@
 #include "catkintack/control/registry_revision.hpp"
 #include "catkintack/directory/endpoint.hpp"
 #include "catkintack/routes/route_table.hpp"
+#include "catkintack/routes/route_table_delta.hpp"
 
 namespace catkintack::control {
 
@@ -18,6 +19,8 @@
   registry_revision base_revision{};  ///< Applies to a replica at this revision or a later one.
   registry_revision revision{};       ///< The revision of the replica afterwards.
   std::optional<routes::route_table> table{};
+  /// Takes the place of `table` where the change is small.
+  std::optional<routes::route_table_delta> table_delta{};
   /// Version of a table that is too large to send and must be read from the registry. 0: none.
   std::uint64_t announced_table_version = 0;
   std::vector<directory::endpoint> changed{};
@@ -25,13 +28,14 @@
 
   /// @brief Whether the batch holds no change to routes or upstreams.
   bool empty() const {
-    return !table && announced_table_version == 0 && changed.empty() && removed.empty();
+    return !table && !table_delta && announced_table_version == 0 && changed.empty() &&
+           removed.empty();
   }
 
   /// @brief Serializes with cereal.
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(base_revision, revision, table, announced_table_version, changed, removed);
+    archive(base_revision, revision, table, table_delta, announced_table_version, changed, removed);
   }
 };
 
--- a/include/catkintack/control/feed_server.hpp
+++ b/include/catkintack/control/feed_server.hpp
@@ -5,7 +5,10 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <list>
+#include <map>
 #include <memory>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include "catkintack/control/feed_message.hpp"
@@ -23,11 +26,14 @@
   /// Subscribers in each other region, not counting those that watch the registry themselves. They
   /// relay to the rest of their region, as traffic between regions is charged by volume.
   std::size_t subscribers_per_other_region = 1;
+  /// Subscribers in each other failure domain of the region, which relay to the rest of their
+  /// domain for the same reason.
+  std::size_t subscribers_per_other_domain = 3;
   /// Interval between messages when nothing changes.
   base::duration heartbeat_interval = std::chrono::milliseconds(500);
   /// Larger tables are only announced, and subscribers read them from the registry: sending one to
   /// every subscriber would overload the link of a small host.
-  std::size_t max_inline_routes = 200;
+  std::size_t max_inline_routes = 5000;
   /// A subscriber that stops reading is dropped.
   base::duration send_timeout = std::chrono::seconds(3);
 };
@@ -59,6 +65,7 @@
     explicit subscriber(boost::asio::io_context& io) : timer(io) {}
     base::address feed_address;
     base::region_id region;
+    base::failure_domain_id failure_domain;
     bool watches_registry = false;
     boost::asio::steady_timer timer;
     registry_revision sent_revision;  ///< Revision of the last message sent.
@@ -72,8 +79,11 @@
   boost::asio::awaitable<void> publish(boost::beast::tcp_stream& stream, subscriber& host);
   static void watch_for_close(boost::beast::tcp_stream& stream,
                               const std::shared_ptr<subscriber>& host);
-  void strip_large_tables(feed_message& message) const;
-  std::string next_message(subscriber& host) const;
+  void strip_large_tables(feed_changes& changes) const;
+  std::string encode_changes(const subscriber& host) const;
+  /// @brief Returns the changes for a subscriber, encoded once for all that need the same.
+  const std::string& changes_for(const subscriber& host);
+  std::string next_message(subscriber& host);
   bool has_capacity_for(const feed_subscription& request) const;
   std::vector<base::address> alternatives_for(const feed_subscription& request) const;
 
@@ -83,6 +93,11 @@
   feed_server_options options_;
   serving::listener listener_;
   std::list<std::shared_ptr<subscriber>> subscribers_;
+  /// Encoded changes by the revision of the subscriber and whether it wants large tables, for the
+  /// state below.
+  std::map<std::pair<registry_revision, bool>, std::string> encoded_;
+  registry_revision encoded_revision_;
+  base::list_version encoded_table_;
 };
 
 }  // namespace catkintack::control
--- a/include/catkintack/control/message_channel.hpp
+++ b/include/catkintack/control/message_channel.hpp
@@ -14,6 +14,10 @@
 
 namespace catkintack::control {
 
+/// Largest body of a frame, far above the size of a snapshot with thousands of routes and
+/// upstreams.
+inline constexpr std::size_t max_frame_bytes = 8U << 20U;
+
 /// @brief Sends one frame; the stream's timeout applies.
 /// @return The error, if any.
 serving::asio::awaitable<serving::error_code> send_frame(serving::beast::tcp_stream& stream,
--- a/include/catkintack/control/registry_replica.hpp
+++ b/include/catkintack/control/registry_replica.hpp
@@ -43,7 +43,8 @@
 
   /// @brief Activates a route table if its version is higher than that of the active one.
   void apply_table(routes::route_table table, std::string_view source);
-  /// @brief Whether another host announced a newer table without sending it.
+  /// @brief Whether another host announced a newer table without sending it, or sent a difference
+  /// to a version that this host does not have.
   bool lacks_table() const;
 
   /// @brief Called when the registry is unreachable and no publisher keeps this host up to date.
@@ -78,6 +79,9 @@
   void on_change(std::function<void()> hook) { on_change_ = std::move(hook); }
 
  private:
+  /// @brief Applies the routes of a batch, and replaces a table by its difference to the one before
+  /// where that is small.
+  void apply_routes(change_batch& batch, std::string_view source);
   void put(const directory::endpoint& upstream, std::string_view source);
   void remove(const base::upstream_id& id, std::string_view source);
   void on_registry_restored(const registry_revision& restored, std::string_view source);
--- a/include/catkintack/routes/route_table.hpp
+++ b/include/catkintack/routes/route_table.hpp
@@ -24,6 +24,8 @@
   const request_limits& limits() const { return limits_; }
   /// @brief Returns all routes in no particular order.
   const std::vector<route>& routes() const { return routes_; }
+  /// @brief Returns the profiles of the services that the configuration names.
+  const std::vector<service_profile>& profiles() const { return profiles_; }
 
   /// @brief Finds the route for a request.
   /// @param host Value of the Host header, with or without a port; case is ignored.
--- a/src/catkintack/control/change_log.cpp
+++ b/src/catkintack/control/change_log.cpp
@@ -18,8 +18,12 @@
   }
   last_revision_ = batch.revision;
   if (batch.table) {
-    // A host that is sent an earlier batch is sent this one too, so only the newest table is kept.
-    std::ranges::for_each(batches_, [](change_batch& earlier) { earlier.table.reset(); });
+    // A host that is sent an earlier batch is sent this one too, so only the newest
+    // table is kept.
+    std::ranges::for_each(batches_, [](change_batch& earlier) {
+      earlier.table.reset();
+      earlier.table_delta.reset();
+    });
   }
   if (batch.empty() && !batches_.empty() && batches_.back().empty()) {
     batches_.back().revision = batch.revision;
--- a/src/catkintack/control/feed_client.cpp
+++ b/src/catkintack/control/feed_client.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/detached.hpp>
 #include <utility>
 
+#include "catkintack/control/compression.hpp"
 #include "catkintack/control/message_channel.hpp"
 #include "catkintack/control/retry_backoff.hpp"
 
@@ -93,16 +94,31 @@
   return result;
 }
 
-bool feed_client::handle_message(publisher_slot& slot, feed_message message, std::string& reason) {
-  const std::string source = base::to_string(slot.publisher);
-  for (const change_batch& batch : message.batches) {
+bool feed_client::apply_changes(const std::string& encoded,
+                                const std::string& source,
+                                std::string& reason) {
+  const auto bytes = decompress(encoded, max_frame_bytes);
+  auto changes = bytes ? decode<feed_changes>(*bytes) : std::nullopt;
+  if (!changes) {
+    reason = "message of another version";
+    return false;
+  }
+  for (const change_batch& batch : changes->batches) {
     if (!replica_.apply(batch, source)) {
       reason = "steps are missing";
       return false;
     }
   }
-  if (message.snapshot) {
-    replica_.apply_snapshot(std::move(*message.snapshot), source);
+  if (changes->snapshot) {
+    replica_.apply_snapshot(std::move(*changes->snapshot), source);
+  }
+  return true;
+}
+
+bool feed_client::handle_message(publisher_slot& slot, feed_message message, std::string& reason) {
+  const std::string source = base::to_string(slot.publisher);
+  if (!message.changes.empty() && !apply_changes(message.changes, source, reason)) {
+    return false;
   }
   const base::duration age(message.age_us);
   slot.confirmed_at = state_.clock() - age;
@@ -158,6 +174,7 @@
   result.known_revision = replica_.lacks_table() ? registry_revision{} : replica_.revision();
   result.feed_address = options_.self;
   result.region = state_.options.region;
+  result.failure_domain = state_.options.failure_domain;
   result.watches_registry = options_.watches_registry;
   result.wants_large_tables = wants_large_tables_;
   return encode(result);
--- a/src/catkintack/control/feed_server.cpp
+++ b/src/catkintack/control/feed_server.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/detached.hpp>
 #include <utility>
 
+#include "catkintack/control/compression.hpp"
 #include "catkintack/control/message_channel.hpp"
 #include "catkintack/serving/upstream_connection.hpp"
 
@@ -59,22 +60,36 @@
   if (subscribers_.size() >= options_.max_subscribers) {
     return false;
   }
-  if (request.watches_registry || request.region == state_.options.region) {
+  const bool same_region = request.region == state_.options.region;
+  const bool same_domain = request.failure_domain == state_.options.failure_domain;
+  if (request.watches_registry || (same_region && same_domain)) {
     return true;
   }
   const auto subscribed = std::ranges::count_if(subscribers_, [&](const auto& host) {
-    return host->region == request.region && !host->watches_registry;
+    return !host->watches_registry && host->region == request.region &&
+           (!same_region || host->failure_domain == request.failure_domain);
   });
-  return static_cast<std::size_t>(subscribed) < options_.subscribers_per_other_region;
+  return static_cast<std::size_t>(subscribed) < (same_region
+                                                     ? options_.subscribers_per_other_domain
+                                                     : options_.subscribers_per_other_region);
 }
 
 std::vector<base::address> feed_server::alternatives_for(const feed_subscription& request) const {
+  std::vector<base::address> same_domain;
   std::vector<base::address> same_region;
   std::vector<base::address> other_regions;
   for (const auto& host : subscribers_) {
-    (host->region == request.region ? same_region : other_regions).push_back(host->feed_address);
+    if (host->region != request.region) {
+      other_regions.push_back(host->feed_address);
+    } else if (host->failure_domain != request.failure_domain) {
+      same_region.push_back(host->feed_address);
+    } else {
+      same_domain.push_back(host->feed_address);
+    }
   }
-  std::vector<base::address>& result = same_region.empty() ? other_regions : same_region;
+  std::vector<base::address> result = std::move(!same_domain.empty()   ? same_domain
+                                                : !same_region.empty() ? same_region
+                                                                       : other_regions);
   for (std::size_t i = result.size(); i > 1; --i) {
     std::swap(result[i - 1], result[state_.random() % i]);
   }
@@ -82,7 +97,7 @@
   return result;
 }
 
-void feed_server::strip_large_tables(feed_message& message) const {
+void feed_server::strip_large_tables(feed_changes& changes) const {
   const auto strip = [&](auto& payload) {
     if (payload.table && payload.table->routes().size() > options_.max_inline_routes) {
       payload.announced_table_version =
@@ -90,25 +105,46 @@
       payload.table.reset();
     }
   };
-  std::ranges::for_each(message.batches, strip);
-  if (message.snapshot) {
-    strip(*message.snapshot);
+  std::ranges::for_each(changes.batches, strip);
+  if (changes.snapshot) {
+    strip(*changes.snapshot);
+  }
+}
+
+std::string feed_server::encode_changes(const subscriber& host) const {
+  feed_changes changes;
+  if (auto batches = replica_.changes().since(host.sent_revision)) {
+    changes.batches = std::move(*batches);
+  } else {
+    changes.snapshot = replica_.snapshot();
+  }
+  if (!host.wants_large_tables) {
+    strip_large_tables(changes);
   }
+  return compress(encode(changes));
 }
 
-std::string feed_server::next_message(subscriber& host) const {
+const std::string& feed_server::changes_for(const subscriber& host) {
+  const base::list_version table = state_.table ? state_.table->version() : base::list_version();
+  if (encoded_revision_ != replica_.revision() || encoded_table_ != table) {
+    encoded_.clear();
+    encoded_revision_ = replica_.revision();
+    encoded_table_ = table;
+  }
+  const std::pair key(host.sent_revision, host.wants_large_tables);
+  const auto [found, inserted] = encoded_.try_emplace(key);
+  if (inserted) {
+    found->second = encode_changes(host);
+  }
+  return found->second;
+}
+
+std::string feed_server::next_message(subscriber& host) {
   feed_message message;
   message.hops = replica_.hops();
   message.age_us = replica_.age().count();
   if (host.sent_revision < replica_.revision()) {
-    if (auto batches = replica_.changes().since(host.sent_revision)) {
-      message.batches = std::move(*batches);
-    } else {
-      message.snapshot = replica_.snapshot();
-    }
-  }
-  if (!host.wants_large_tables) {
-    strip_large_tables(message);
+    message.changes = changes_for(host);
   }
   host.sent_revision = replica_.revision();
   return encode(message);
@@ -170,6 +206,7 @@
   const auto host = std::make_shared<subscriber>(io_);
   host->feed_address = request->feed_address;
   host->region = request->region;
+  host->failure_domain = request->failure_domain;
   host->watches_registry = request->watches_registry;
   host->sent_revision = request->known_revision;
   host->wants_large_tables = request->wants_large_tables;
--- a/src/catkintack/control/feed_test.cpp
+++ b/src/catkintack/control/feed_test.cpp
@@ -380,5 +380,20 @@
   ASSERT_TRUE(run_until(io, [&] { return detached.server.subscriber_count() == 0; }));
 }
 
+TEST(feed, subscribers_of_another_failure_domain_relay_to_the_rest_of_it) {
+  asio::io_context io;
+  feed_host root(io, {}, {.subscribers_per_other_domain = 1});
+  root.replica.set_watching(true);
+  std::vector<std::unique_ptr<feed_host>> hosts;
+  for (int i = 0; i < 4; ++i) {
+    hosts.push_back(std::make_unique<feed_host>(io, std::vector{root.feed_address}));
+    hosts.back()->state.options.failure_domain = base::failure_domain_id("other");
+  }
+  ASSERT_TRUE(run_until(io, [&] {
+    return std::ranges::all_of(hosts, [](const auto& host) { return host->client.up_to_date(); });
+  }));
+  EXPECT_EQ(root.server.subscriber_count(), 1U);
+}
+
 }  // namespace
 }  // namespace catkintack::control
--- a/src/catkintack/control/message_channel.cpp
+++ b/src/catkintack/control/message_channel.cpp
@@ -13,8 +13,6 @@
 using serving::no_throw;
 
 constexpr std::size_t length_bytes = 4;
-// Far above the size of a snapshot with thousands of routes and upstreams.
-constexpr std::size_t max_body_bytes = 8U << 20U;
 
 }  // namespace
 
@@ -41,7 +39,7 @@
   for (const unsigned char byte : header) {
     length = (length << 8U) | byte;
   }
-  if (length > max_body_bytes) {
+  if (length > max_frame_bytes) {
     result.second = asio::error::message_size;
     co_return result;
   }
--- a/src/catkintack/control/registry_replica.cpp
+++ b/src/catkintack/control/registry_replica.cpp
@@ -24,6 +24,27 @@
   state_.metrics.set("routes_version", static_cast<double>(offered_version));
 }
 
+void registry_replica::apply_routes(change_batch& batch, std::string_view source) {
+  const auto before = state_.table;
+  if (batch.table) {
+    apply_table(*batch.table, source);
+    const bool newer = before && batch.table->version() > before->version();
+    auto delta = newer ? routes::find_difference(*before, *batch.table) : std::nullopt;
+    // A change of most routes is as large as the table, and the table applies to any version.
+    if (delta &&
+        (delta->changed.size() + delta->removed.size()) * 2 < batch.table->routes().size()) {
+      batch.table_delta = std::move(delta);
+      batch.table.reset();
+    }
+  } else if (batch.table_delta) {
+    newest_table_version_ = std::max(newest_table_version_, batch.table_delta->version.value());
+    auto table = before ? routes::apply_difference(*before, *batch.table_delta) : std::nullopt;
+    if (table) {
+      apply_table(std::move(*table), source);
+    }
+  }
+}
+
 bool registry_replica::lacks_table() const {
   return newest_table_version_ > (state_.table ? state_.table->version().value() : 0);
 }
@@ -68,8 +89,9 @@
     return false;
   }
   newest_table_version_ = std::max(newest_table_version_, batch.announced_table_version);
-  if (batch.table && (batch.revision > revision_ || lacks_table())) {
-    apply_table(*batch.table, source);
+  change_batch relayed = batch;
+  if (batch.revision > revision_ || lacks_table()) {
+    apply_routes(relayed, source);
   }
   if (batch.revision <= revision_) {
     return true;
@@ -81,7 +103,7 @@
     remove(id, source);
   }
   revision_ = batch.revision;
-  changes_.append(batch);
+  changes_.append(std::move(relayed));
   if (!batch.empty()) {
     notify_change();
   }
--- a/src/catkintack/control/registry_replica_test.cpp
+++ b/src/catkintack/control/registry_replica_test.cpp
@@ -217,5 +217,53 @@
   EXPECT_EQ(fixture.usable(), 0U);
 }
 
+routes::route_table table_of_routes(std::uint64_t version, int count) {
+  routes::route_table_builder builder{base::list_version(version)};
+  for (int i = 0; i < count; ++i) {
+    builder.add(routes::route{.name = routes::route_id("r" + std::to_string(i)),
+                              .host = "a.example",
+                              .prefix = "/" + std::to_string(i) + "/",
+                              .services = {{press, 1}}});
+  }
+  return std::move(builder).build();
+}
+
+// Hundreds of routes, one more with each edit: an edit must not cost the whole table at every host.
+TEST(morning_of_route_changes, one_added_route_is_relayed_as_a_difference) {
+  replica_fixture seed;
+  seed.apply(table_of_routes(1, 1400));
+  seed.apply(table_of_routes(2, 1401));
+  const auto batches = seed.replica.changes().since({.number = 1});
+  ASSERT_TRUE(batches && batches->size() == 1);
+  ASSERT_TRUE(batches->front().table_delta);
+  EXPECT_FALSE(batches->front().table);
+  EXPECT_EQ(batches->front().table_delta->changed.size(), 1U);
+
+  replica_fixture host;
+  host.apply(table_of_routes(1, 1400));
+  EXPECT_TRUE(host.replica.apply(batches->front(), "seed"));
+  EXPECT_EQ(host.state.table->version().value(), 2U);
+  EXPECT_EQ(host.state.table->routes().size(), 1401U);
+  EXPECT_TRUE(host.replica.changes().since({.number = 1})->front().table_delta);
+}
+
+TEST(morning_of_route_changes, difference_to_an_unknown_version_is_reported_as_a_missing_table) {
+  replica_fixture host;
+  host.apply(table_of_routes(3, 10));
+  const auto second_to_fourth =
+      routes::find_difference(table_of_routes(2, 9), table_of_routes(4, 11));
+  host.apply({.table_delta = second_to_fourth});
+  EXPECT_EQ(host.state.table->version().value(), 3U);
+  EXPECT_TRUE(host.replica.lacks_table());
+  // The same change in the steps of another publisher, which arrives after the revision is known.
+  const auto third_to_fourth =
+      routes::find_difference(table_of_routes(3, 10), table_of_routes(4, 11));
+  EXPECT_TRUE(host.replica.apply(
+      {.base_revision = {.number = 1}, .revision = {.number = 2}, .table_delta = third_to_fourth},
+      "other"));
+  EXPECT_EQ(host.state.table->version().value(), 4U);
+  EXPECT_FALSE(host.replica.lacks_table());
+}
+
 }  // namespace
 }  // namespace catkintack::control
