--- a/include/catkintack/control/host_settings.hpp
+++ b/include/catkintack/control/host_settings.hpp
@@ -19,6 +19,8 @@
   base::host_id host;
   base::region_id region;
   base::failure_domain_id failure_domain;
+  bool first_start =
+      false;  ///< The whole fleet starts for the first time; there are no callers yet.
   std::map<base::failure_domain_id, base::region_id> regions;  ///< Region of each failure domain.
   base::address callers;                                       ///< Listening address for callers.
   /// Listening address for the balancer's readiness check and for metrics.
--- a/src/catkintack/control/read_host_settings.cpp
+++ b/src/catkintack/control/read_host_settings.cpp
@@ -90,6 +90,16 @@
   };
 }
 
+value_parser flag_value(bool host_settings::*field) {
+  return [field](const std::string& text, host_settings& s) -> std::optional<std::string> {
+    if (text != "true" && text != "false") {
+      return "true or false";
+    }
+    s.*field = text == "true";
+    return std::nullopt;
+  };
+}
+
 value_parser duration_value(base::duration host_settings::*field) {
   return [field](const std::string& text, host_settings& s) -> std::optional<std::string> {
     constexpr double microseconds_per_ms = 1000;
@@ -132,6 +142,7 @@
       {"host.id", true, id_value(&host_settings::host)},
       {"host.region", true, id_value(&host_settings::region)},
       {"host.failure_domain", true, id_value(&host_settings::failure_domain)},
+      {"host.first_start", false, flag_value(&host_settings::first_start)},
       {"listen.callers", true, address_value(&host_settings::callers)},
       {"listen.readiness", true, address_value(&host_settings::readiness)},
       {"listen.peers", true, address_value(&host_settings::peers)},
--- a/src/catkintack/control/read_host_settings_test.cpp
+++ b/src/catkintack/control/read_host_settings_test.cpp
@@ -91,5 +91,12 @@
   EXPECT_FALSE(read);
 }
 
+TEST(host_settings, first_start_is_a_flag) {
+  EXPECT_EQ(error_of(std::string(valid_settings) + "[host]\nfirst_start = true\n"), "");
+  EXPECT_NE(error_of(std::string(valid_settings) + "[host]\nfirst_start = yes\n")
+                .find("allowed: true or false"),
+            std::string::npos);
+}
+
 }  // namespace
 }  // namespace catkintack::control
