--- a/include/catkintack/control/feed_client.hpp
+++ b/include/catkintack/control/feed_client.hpp
@@ -79,7 +79,7 @@
   boost::asio::awaitable<std::string> consume_feed(publisher_slot& slot);
   boost::asio::awaitable<bool> receive_message(publisher_slot& slot, std::string& reason);
   std::string subscription() const;
-  bool handle_message(publisher_slot& slot, feed_message message, std::string& reason);
+  bool handle_message(publisher_slot& slot, const feed_message& message, std::string& reason);
   bool apply_changes(const std::string& encoded, const std::string& source, std::string& reason);
   std::string reason_to_leave(const publisher_slot& slot, base::duration age) const;
   base::address choose_publisher(publisher_slot& slot);
--- a/src/catkintack/control/feed_client.cpp
+++ b/src/catkintack/control/feed_client.cpp
@@ -115,7 +115,9 @@
   return true;
 }
 
-bool feed_client::handle_message(publisher_slot& slot, feed_message message, std::string& reason) {
+bool feed_client::handle_message(publisher_slot& slot,
+                                 const feed_message& message,
+                                 std::string& reason) {
   const std::string source = base::to_string(slot.publisher);
   if (!message.changes.empty() && !apply_changes(message.changes, source, reason)) {
     return false;
@@ -164,7 +166,7 @@
     reason = "no room";
     co_return false;
   }
-  const bool accepted = handle_message(slot, std::move(*message), reason);
+  const bool accepted = handle_message(slot, *message, reason);
   co_return accepted;
 }
 
--- a/src/catkintack/control/registry_replica_test.cpp
+++ b/src/catkintack/control/registry_replica_test.cpp
@@ -228,23 +228,27 @@
   return std::move(builder).build();
 }
 
+std::vector<change_batch> changes_after(const replica_fixture& fixture, std::uint64_t number) {
+  return fixture.replica.changes().since({.number = number}).value_or(std::vector<change_batch>());
+}
+
 // Hundreds of routes, one more with each edit: an edit must not cost the whole table at every host.
 TEST(morning_of_route_changes, one_added_route_is_relayed_as_a_difference) {
   replica_fixture seed;
   seed.apply(table_of_routes(1, 1400));
   seed.apply(table_of_routes(2, 1401));
-  const auto batches = seed.replica.changes().since({.number = 1});
-  ASSERT_TRUE(batches && batches->size() == 1);
-  ASSERT_TRUE(batches->front().table_delta);
-  EXPECT_FALSE(batches->front().table);
-  EXPECT_EQ(batches->front().table_delta->changed.size(), 1U);
+  const std::vector<change_batch> batches = changes_after(seed, 1);
+  ASSERT_EQ(batches.size(), 1U);
+  const change_batch& sent = batches.front();
+  EXPECT_FALSE(sent.table);
+  EXPECT_EQ(sent.table_delta.value_or(routes::route_table_delta()).changed.size(), 1U);
 
   replica_fixture host;
   host.apply(table_of_routes(1, 1400));
-  EXPECT_TRUE(host.replica.apply(batches->front(), "seed"));
+  EXPECT_TRUE(host.replica.apply(sent, "seed"));
   EXPECT_EQ(host.state.table->version().value(), 2U);
   EXPECT_EQ(host.state.table->routes().size(), 1401U);
-  EXPECT_TRUE(host.replica.changes().since({.number = 1})->front().table_delta);
+  EXPECT_TRUE(changes_after(host, 1).at(0).table_delta);
 }
 
 TEST(morning_of_route_changes, difference_to_an_unknown_version_is_reported_as_a_missing_table) {
--- a/src/catkintack/serving/call_runner.cpp
+++ b/src/catkintack/serving/call_runner.cpp
@@ -151,6 +151,10 @@
       const base::instant now = state.clock();
       if (may_try_again(state, *served, progress) && served->deadline - now > expected &&
           state.repeats.can_spend(service, now)) {
+        state.log.write("attempt_abandoned", {{"request", served->id},
+                                              {"why", "no answer from the upstream"},
+                                              {"expected_us", expected.count()}});
+        state.metrics.add("attempts_abandoned_total");
         for (upstream_connection* const silent : served->active_connections) {
           silent->close();
         }
