--- a/include/catkintack/directory/endpoint_directory.hpp
+++ b/include/catkintack/directory/endpoint_directory.hpp
@@ -79,7 +79,8 @@
   /// @brief Returns the entry of an upstream, or null.
   const known_endpoint* find(const base::upstream_id& id) const;
 
-  /// @brief Returns all entries as listed, for sending to a peer.
+  /// @brief Returns all entries as listed, for sending to a peer. Entries that await their removal
+  /// are left out: a peer that has not seen the removal would keep them.
   std::vector<endpoint> entries() const;
   std::size_t size() const { return entries_.size(); }
 
--- a/src/catkintack/directory/endpoint_directory.cpp
+++ b/src/catkintack/directory/endpoint_directory.cpp
@@ -153,7 +153,9 @@
   std::vector<endpoint> result;
   result.reserve(entries_.size());
   for (const auto& [id, current] : entries_) {
-    result.push_back(current.listed);
+    if (current.expires_at == base::instant::max()) {
+      result.push_back(current.listed);
+    }
   }
   return result;
 }
