--- a/src/catkintack/control/registry_replica_test.cpp
+++ b/src/catkintack/control/registry_replica_test.cpp
@@ -269,5 +269,16 @@
   EXPECT_FALSE(host.replica.lacks_table());
 }
 
+// A store that falls silent for all seeds leaves their watches open. Hosts below them must notice
+// in time to read an edit themselves, which is due 3 s after it was accepted.
+TEST(registry_replica, watch_without_an_answer_counts_as_stale_before_an_edit_is_due) {
+  constexpr base::duration stale_after = seconds(2);
+  replica_fixture fixture;
+  fixture.reach_registry();
+  fixture.replica.set_watching(true);
+  fixture.now += milliseconds(2500);
+  EXPECT_GE(fixture.replica.age(), stale_after);
+}
+
 }  // namespace
 }  // namespace catkintack::control
--- a/src/catkintack/serving/call_runner.cpp
+++ b/src/catkintack/serving/call_runner.cpp
@@ -142,10 +142,11 @@
       return;
     }
     constexpr int tolerated_estimates = 3;
-    timer_.expires_after(
-        std::max(served->route->latency_objective, expected * tolerated_estimates));
+    timer_.expires_after(std::max({served->route->latency_objective, expected * tolerated_estimates,
+                                   (served->deadline - state.clock()) / 2}));
     timer_.async_wait([&state, served, progress, service, expected](const error_code& error) {
-      if (error || served->response_started) {
+      // During a planned stop, a call that may be running is not given up for an uncertain retry.
+      if (error || served->response_started || state.stop != stop_stage::running) {
         return;
       }
       const base::instant now = state.clock();
--- a/src/catkintack/serving/upstream_behaviour_test.cpp
+++ b/src/catkintack/serving/upstream_behaviour_test.cpp
@@ -165,5 +165,23 @@
   EXPECT_TRUE(other.received.empty());
 }
 
+// Incident 08: a stopping host gave up a call that was running, found no other upstream and
+// answered 502.
+TEST(upstream_behaviour, stopping_host_stays_with_a_silent_upstream) {
+  serving_fixture world;
+  world.set_route(delivery_kind::repeatable, std::chrono::milliseconds(600));
+  world.fill_repeat_budget();
+  auto& silent =
+      world.add("a", [](const received_request&) -> scripted_reply { return {.withhold = true}; });
+  auto& other = world.add("b", healthy_reply);
+  other.load = "0,0,2,150";
+  scripted_caller caller(world);
+  caller.get("one");
+  ASSERT_TRUE(world.run_until([&] { return silent.received.size() == 1; }));
+  world.front.stop([](std::size_t) {});
+  ASSERT_TRUE(caller.wait_for("HTTP/1.1 504")) << caller.received_bytes;
+  EXPECT_TRUE(other.received.empty());
+}
+
 }  // namespace
 }  // namespace catkintack::serving
