--- a/include/catkintack/serving/serving_options.hpp
+++ b/include/catkintack/serving/serving_options.hpp
@@ -53,8 +53,6 @@
   /// busy.
   double hold_share = 0.125;
   double returned_hold_share = 0.125;  ///< The same for a caller that retries after a refusal.
-  /// The same for a call that missed its objective and waits for a free slot.
-  double late_hold_share = 0.5;
   /// Until a route has had its first response, its work is assumed to be the objective divided by
   /// this.
   int unknown_work_divisor = 3;
--- a/src/catkintack/choice/placement.cpp
+++ b/src/catkintack/choice/placement.cpp
@@ -79,19 +79,16 @@
     result.action = placement_action::widen_search;
     return result;
   }
-  const bool fits_deadline = best && best->expected.total < call.deadline_left;
-  // A call that missed its objective takes a free slot, but does not queue ahead of calls that can
-  // still be in time.
-  const bool may_queue = options.queue_new_calls || (call.is_retry && objective_reachable);
-  const bool acceptable = best && !best->expected.queue_full && fits_deadline &&
-                          (!best->expected.would_queue || may_queue);
-  const bool send_now = meets_objective || (acceptable && !objective_reachable);
-  if (!send_now && call.held_for + options.probe_pause < call.max_hold) {
+  if (!meets_objective && objective_reachable &&
+      call.held_for + options.probe_pause < call.max_hold) {
     result.action = placement_action::wait;
     result.pause = options.probe_pause;
     return result;
   }
-  if (send_now || acceptable) {
+  const bool fits_deadline = best && best->expected.total < call.deadline_left;
+  const bool acceptable = best && !best->expected.queue_full && fits_deadline &&
+                          (!best->expected.would_queue || call.is_retry || options.queue_new_calls);
+  if (meets_objective || acceptable) {
     result.action = placement_action::send;
     result.target = best->upstream->id;
     return result;
--- a/src/catkintack/serving/upstream_selection.cpp
+++ b/src/catkintack/serving/upstream_selection.cpp
@@ -92,10 +92,7 @@
   need.deadline_left = served.deadline - now;
   need.held_for = now - started_at;
   need.is_retry = served.elapsed_before_arrival > base::duration::zero();
-  const bool late = need.objective_left <= need.service_time.typical;
-  const double share = late            ? state.options.late_hold_share
-                       : need.is_retry ? state.options.returned_hold_share
-                                       : state.options.hold_share;
+  const double share = need.is_retry ? state.options.returned_hold_share : state.options.hold_share;
   need.max_hold =
       std::chrono::duration_cast<base::duration>(served.route->latency_objective * share);
   need.remote_bytes = state.route_statistics.exchanged_bytes(route);
