Log the limits that upstreams name, and sends to limited upstreams

The adapter decodes the header; each change of the known limit is logged with its source, call_ended names the limit that was known before the send, and such sends are counted. A malformed limit is logged and changes nothing. No decision uses the limit yet. Tests: upstream_notice.limit_is_a_decimal_number_from_any_status, malformed_limit_neither_sets_nor_ends_one, only_a_proven_answer_without_a_limit_ends_one.

--- a/include/catkintack/serving/traffic_state.hpp
+++ b/include/catkintack/serving/traffic_state.hpp
@@ -11,6 +11,7 @@
 #include "catkintack/base/metric_registry.hpp"
 #include "catkintack/choice/outlier_detector.hpp"
 #include "catkintack/choice/route_statistics.hpp"
+#include "catkintack/choice/upstream_limits.hpp"
 #include "catkintack/choice/upstream_pauses.hpp"
 #include "catkintack/directory/endpoint_directory.hpp"
 #include "catkintack/limits/byte_budget.hpp"
@@ -45,6 +46,7 @@
   choice::route_statistics route_statistics;
   choice::outlier_detector outlier_detector;
   choice::upstream_pauses pauses;
+  choice::upstream_limits upstream_limits;
   limits::resend_budget repeats;
   limits::byte_budget remote_bytes;  ///< Budget for traffic between regions.
   in_flight_sends in_flight;
--- a/include/catkintack/serving/upstream_protocol.hpp
+++ b/include/catkintack/serving/upstream_protocol.hpp
@@ -27,6 +27,9 @@
   std::string proof = "Catkintack-Proof";
   /// "1" in any response of an upstream that is about to stop.
   std::string leaving = "Catkintack-Leaving";
+  /// Requests per second that an upstream accepts from all hosts together, a decimal number, for as
+  /// long as its responses name it.
+  std::string limit = "Catkintack-Limit";
   /// Load of the upstream.
   std::string load = "Catkintack-Load";
   /// Parses the load header; returns nullopt for a malformed value.
--- a/src/catkintack/serving/call_runner.cpp
+++ b/src/catkintack/serving/call_runner.cpp
@@ -184,7 +184,7 @@
   state.in_flight.end(selection.upstream, started_at);
   const base::duration elapsed = state.clock() - started_at;
   state.metrics.add("attempts_total{outcome=\"" + std::string(to_text(attempt.outcome)) + "\"}");
-  apply_notice(state, selection.upstream, attempt.notice);
+  apply_notice(state, selection.upstream, attempt.notice, notice_source::call);
   log_attempt(state, served, selection, attempt, elapsed);
   record_outcome(state, served, selection, attempt, elapsed);
   if (!attempt.body_parser && attempt.connection) {
@@ -218,6 +218,10 @@
     }
     progress.tried.insert(selection.upstream);
     diagnostics.attempts = ++progress.attempts;
+    diagnostics.limit = state.upstream_limits.limit_of(selection.upstream);
+    if (diagnostics.limit) {
+      state.metrics.add("sends_to_limited_upstreams_total");
+    }
     call_result result;
     result.upstream = selection.upstream;
     result.diagnostics = diagnostics;
--- a/src/catkintack/serving/caller_session.cpp
+++ b/src/catkintack/serving/caller_session.cpp
@@ -226,6 +226,7 @@
                                   {"status", status},
                                   {"answer_by", std::string(by)},
                                   {"upstream", result.upstream.value()},
+                                  {"upstream_limit", base::to_string(result.diagnostics.limit)},
                                   {"spent_before_us", served.elapsed_before_arrival.count()},
                                   {"held_us", result.diagnostics.held.count()},
                                   {"expected_us", result.diagnostics.expected.count()},
--- a/src/catkintack/serving/exchange.cpp
+++ b/src/catkintack/serving/exchange.cpp
@@ -90,6 +90,8 @@
         read_notice(parser->get().result_int(), parser->get().base(), protocol);
     notice.leaving = notice.leaving || read.leaving;
     notice.pause = std::max(notice.pause, read.pause);
+    notice.limit = read.limit ? read.limit : notice.limit;
+    notice.names_no_limit = read.names_no_limit;
     if (!is_stray(*parser, sent, protocol)) {
       co_return std::pair{std::move(parser), error_code{}};
     }
--- a/src/catkintack/serving/probe_round.cpp
+++ b/src/catkintack/serving/probe_round.cpp
@@ -138,7 +138,8 @@
     co_return false;
   }
   const auto& head = parser.get();
-  apply_notice(state_, target.id, read_notice(head.result_int(), head.base(), names));
+  apply_notice(state_, target.id, read_notice(head.result_int(), head.base(), names),
+               notice_source::probe);
   if (!state_.accepts_requests(target.id)) {
     connection.close();
     co_return false;
--- a/src/catkintack/serving/upstream_notice.cpp
+++ b/src/catkintack/serving/upstream_notice.cpp
@@ -3,24 +3,64 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <string>
 
 #include "catkintack/serving/status.hpp"
 #include "catkintack/serving/traffic_state.hpp"
 
 namespace catkintack::serving {
+namespace {
 
-std::optional<base::duration> parse_retry_after(std::string_view text) {
-  constexpr double longest_seconds = 24 * 60 * 60;
-  double seconds = 0;
+/// @brief Parses a decimal number of 0 or more; larger ones than `max` are cut to it.
+std::optional<double> parse_decimal(std::string_view text, double max) {
+  double value = 0;
   const char* const end = text.data() + text.size();
-  const auto [rest, error] = std::from_chars(text.data(), end, seconds, std::chars_format::fixed);
+  const auto [rest, error] = std::from_chars(text.data(), end, value, std::chars_format::fixed);
   const bool too_large = error == std::errc::result_out_of_range;
-  if ((error != std::errc{} && !too_large) || rest != end || !std::isfinite(seconds) ||
-      seconds < 0) {
+  if ((error != std::errc{} && !too_large) || rest != end || !std::isfinite(value) || value < 0) {
+    return std::nullopt;
+  }
+  return too_large ? max : std::min(value, max);
+}
+
+void apply_limit(traffic_state& state,
+                 const base::upstream_id& upstream,
+                 const upstream_notice& notice,
+                 notice_source source) {
+  if (!notice.unusable_limit.empty()) {
+    state.log.write("upstream_limit_refused", {{"upstream", upstream.value()},
+                                               {"value", notice.unusable_limit},
+                                               {"why", "not a number of 0 or more"}});
+  }
+  const std::optional<base::request_rate> before = state.upstream_limits.limit_of(upstream);
+  const bool changed = notice.limit
+                           ? state.upstream_limits.on_named(upstream, *notice.limit)
+                           : notice.names_no_limit && state.upstream_limits.on_ended(upstream);
+  if (changed) {
+    state.metrics.add("upstream_limit_changes_total");
+    state.log.write("upstream_limited",
+                    {{"upstream", upstream.value()},
+                     {"per_second", base::to_string(state.upstream_limits.limit_of(upstream))},
+                     {"before", base::to_string(before)},
+                     {"source", source == notice_source::call ? "response" : "probe"}});
+  }
+}
+
+}  // namespace
+
+std::optional<base::duration> parse_retry_after(std::string_view text) {
+  constexpr double longest_seconds = 24 * 60 * 60;
+  const std::optional<double> seconds = parse_decimal(text, longest_seconds);
+  if (!seconds) {
     return std::nullopt;
   }
-  const double bounded = too_large ? longest_seconds : std::min(seconds, longest_seconds);
-  return std::chrono::duration_cast<base::duration>(std::chrono::duration<double>(bounded));
+  return std::chrono::duration_cast<base::duration>(std::chrono::duration<double>(*seconds));
+}
+
+std::optional<base::request_rate> parse_limit(std::string_view text) {
+  constexpr double highest = 1e9;
+  const std::optional<double> per_second = parse_decimal(text, highest);
+  return per_second ? std::optional(base::request_rate(*per_second)) : std::nullopt;
 }
 
 upstream_notice read_notice(unsigned status,
@@ -31,12 +71,20 @@
   if (status == status::unavailable && headers.count(http::field::retry_after) > 0) {
     result.pause = parse_retry_after(to_string_view(headers[http::field::retry_after]));
   }
+  const bool has_limit = headers.count(protocol.limit) > 0;
+  const std::string_view limit = to_string_view(headers[protocol.limit]);
+  result.limit = parse_limit(limit);
+  if (has_limit && !result.limit) {
+    result.unusable_limit = limit;
+  }
+  result.names_no_limit = !has_limit && headers.count(protocol.proof) > 0;
   return result;
 }
 
 void apply_notice(traffic_state& state,
                   const base::upstream_id& upstream,
-                  const upstream_notice& notice) {
+                  const upstream_notice& notice,
+                  notice_source source) {
   const base::instant now = state.clock();
   if (notice.leaving && state.upstreams.mark_leaving(upstream, now)) {
     state.metrics.add("upstreams_leaving_total");
@@ -48,6 +96,7 @@
     state.log.write("upstream_paused",
                     {{"upstream", upstream.value()}, {"requested_us", notice.pause->count()}});
   }
+  apply_limit(state, upstream, notice, source);
 }
 
 }  // namespace catkintack::serving
--- a/src/catkintack/serving/upstream_notice_test.cpp
+++ b/src/catkintack/serving/upstream_notice_test.cpp
@@ -43,6 +43,35 @@
   EXPECT_FALSE(read_notice(429, headers, {}).pause);
 }
 
+TEST(upstream_notice, limit_is_a_decimal_number_from_any_status) {
+  http::fields headers;
+  headers.set("Catkintack-Limit", "2.3");
+  EXPECT_EQ(read_notice(200, headers, {}).limit, base::request_rate(2.3));
+  EXPECT_EQ(read_notice(503, headers, {}).limit, base::request_rate(2.3));
+  EXPECT_EQ(parse_limit("0"), base::request_rate(0));
+  EXPECT_EQ(parse_limit("40"), base::request_rate(40));
+}
+
+TEST(upstream_notice, malformed_limit_neither_sets_nor_ends_one) {
+  for (const char* text : {"", "-1", "few", "2/s", "1e3", "nan", "inf", "2,3"}) {
+    http::fields headers;
+    headers.set("Catkintack-Proof", "p");
+    headers.set("Catkintack-Limit", text);
+    const upstream_notice notice = read_notice(200, headers, {});
+    EXPECT_FALSE(notice.limit) << text;
+    EXPECT_FALSE(notice.names_no_limit) << text;
+    EXPECT_EQ(notice.unusable_limit, text);
+  }
+}
+
+// A response that another program may have sent is no statement of the upstream.
+TEST(upstream_notice, only_a_proven_answer_without_a_limit_ends_one) {
+  http::fields headers;
+  EXPECT_FALSE(read_notice(502, headers, {}).names_no_limit);
+  headers.set("Catkintack-Proof", "p");
+  EXPECT_TRUE(read_notice(200, headers, {}).names_no_limit);
+}
+
 TEST(upstream_notice, leaving_is_read_from_any_status) {
   http::fields headers;
   EXPECT_FALSE(read_notice(200, headers, {}).leaving);
