--- /dev/null
+++ b/src/catkintack/serving/upstream_limit_test.cpp
@@ -0,0 +1,92 @@
+// Upstreams that name a limit for the requests of all hosts together.
+#include <gtest/gtest.h>
+
+#include "serving_fixture.hpp"
+
+namespace catkintack::serving {
+namespace {
+
+using routes::delivery_kind;
+using tests::received_request;
+using tests::scripted_caller;
+using tests::scripted_reply;
+using tests::scripted_upstream;
+using tests::serving_fixture;
+using tests::valid_response;
+
+scripted_reply limited_reply(const received_request& request) {
+  std::string bytes = valid_response(request, "hello");
+  bytes.insert(bytes.find("\r\n") + 2, "Catkintack-Limit: 2\r\n");
+  return {.bytes = bytes};
+}
+
+/// @brief Hosts that share one upstream. Their clocks stand still, so that all calls fall into any
+/// window, however short.
+class limited_fleet {
+ public:
+  explicit limited_fleet(int host_count) {
+    const base::instant now = base::system_clock_hook()();
+    for (int i = 0; i < host_count; ++i) {
+      hosts_.push_back(std::make_unique<serving_fixture>(
+          [&](serving_options& options) {
+            options.host = base::host_id("gw-" + std::to_string(i));
+          },
+          [now] { return now; }));
+      hosts_.back()->set_route(delivery_kind::at_most_once);
+    }
+    upstream_ = &hosts_.front()->add("a", limited_reply);
+    for (const auto& host : hosts_) {
+      host->add_to_directory(*upstream_);
+    }
+  }
+
+  /// @brief Makes one call through each host and waits for its answer.
+  /// @return Whether all were answered.
+  bool call_each_host() {
+    bool answered = true;
+    for (const auto& host : hosts_) {
+      scripted_caller caller(*host);
+      const std::string id = "call-" + std::to_string(++calls_);
+      caller.get(id);
+      answered =
+          answered && run_until([&] {
+            return caller.received_bytes.find("Catkintack-Request-Id: " + id) != std::string::npos;
+          });
+    }
+    return answered;
+  }
+
+  const scripted_upstream& upstream() const { return *upstream_; }
+
+ private:
+  bool run_until(const std::function<bool()>& condition) {
+    const auto give_up_at = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (!condition() && std::chrono::steady_clock::now() < give_up_at) {
+      for (const auto& host : hosts_) {
+        host->io.run_one_for(std::chrono::milliseconds(1));
+      }
+    }
+    return condition();
+  }
+
+  std::vector<std::unique_ptr<serving_fixture>> hosts_;
+  scripted_upstream* upstream_ = nullptr;
+  int calls_ = 0;
+};
+
+// Guards against hosts that go on sending at their usual rate to an upstream that named a limit
+// (incident 09).
+TEST(upstream_limit, told_hosts_together_keep_to_the_limit_of_an_upstream) {
+  limited_fleet fleet(4);
+  ASSERT_TRUE(fleet.call_each_host());
+  const std::size_t received_while_told = fleet.upstream().received.size();
+  for (int round = 0; round < 10; ++round) {
+    ASSERT_TRUE(fleet.call_each_host());
+  }
+  // One and a half times a limit of 2 a second, over a window of 4 s, and 5 more.
+  constexpr std::size_t allowed = 17;
+  EXPECT_LE(fleet.upstream().received.size() - received_while_told, allowed);
+}
+
+}  // namespace
+}  // namespace catkintack::serving
--- a/tests/serving_fixture.hpp
+++ b/tests/serving_fixture.hpp
@@ -109,14 +109,12 @@
 /// @brief A gateway host with its serving layer and scripted upstreams.
 class serving_fixture {
  public:
-  explicit serving_fixture(const std::function<void(serving::serving_options&)>& configure = {})
+  explicit serving_fixture(const std::function<void(serving::serving_options&)>& configure = {},
+                           const base::clock_hook& clock = base::system_clock_hook())
       : log([] { return base::wall_time(); },
-            base::system_clock_hook(),
+            clock,
             [this](const std::string& line) { log_lines.push_back(line); }),
-        state(make_options(configure),
-              base::system_clock_hook(),
-              base::seeded_random_hook(20261203),
-              log),
+        state(make_options(configure), clock, base::seeded_random_hook(20261203), log),
         front(io, state) {
     EXPECT_FALSE(front.listen());
   }
