--- /dev/null
+++ b/include/catkintack/choice/send_permits.hpp
@@ -0,0 +1,88 @@
+/// @file
+/// Permits of this host to send to upstreams that named a limit.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "catkintack/base/hooks.hpp"
+#include "catkintack/base/ids.hpp"
+#include "catkintack/base/units.hpp"
+
+namespace catkintack::choice {
+
+/// @brief Times of the exchange with the authorities that give out permits.
+struct permit_options {
+  std::size_t authority_count = 0;
+  /// An authority without an answer for so long is not asked again for `silent_pause`.
+  base::duration answer_timeout = std::chrono::milliseconds(300);
+  base::duration silent_pause = std::chrono::seconds(1);
+  /// How long after its start a permit may be used. Its authority counts on use near the start.
+  base::duration validity = std::chrono::seconds(1);
+  /// Longest random addition to the time after which an authority is asked again, so that hosts do
+  /// not ask in step.
+  base::duration max_jitter = std::chrono::milliseconds(400);
+};
+
+/// @brief Permits in hand, and which authority to ask for the next ones. Each permit is for one
+/// send to one upstream. Not thread-safe.
+class send_permits {
+ public:
+  send_permits(permit_options options, base::random_hook random);
+
+  /// @brief Whether a permit for an upstream can be used now.
+  bool usable(const base::upstream_id& id, base::instant now) const;
+  /// @brief Uses up the permit for an upstream.
+  /// @return False if there is none.
+  bool take(const base::upstream_id& id, base::instant now);
+  /// @brief Returns when an upstream may next be sent to, at the earliest: the start of the permit,
+  /// or the time of the next answer or question.
+  base::instant next_chance(const base::upstream_id& id, base::instant now) const;
+
+  /// @brief Returns the authority to ask for a permit now, and records the question. Nothing while
+  /// a permit is in hand or a question is open, or if no authority should be asked yet.
+  std::optional<std::size_t> ask(const base::upstream_id& id, base::instant now);
+  /// @brief Records a granted permit.
+  /// @param asked_at Identifies the question; an answer to another one is ignored, so that a
+  /// repeated answer grants nothing.
+  /// @param wait Time from the question to the start of the permit. Counted from when it was asked
+  /// rather than answered, so that a permit that was delayed on its way expires.
+  /// @return Whether the permit was accepted.
+  bool on_granted(const base::upstream_id& id,
+                  std::size_t authority,
+                  base::instant asked_at,
+                  base::duration wait);
+  /// @brief Records a refusal.
+  /// @param wait Time until this authority should be asked again.
+  void on_refused(const base::upstream_id& id,
+                  std::size_t authority,
+                  base::instant asked_at,
+                  base::duration wait);
+  /// @brief Removes the record of an upstream that has no limit or no longer exists.
+  void forget(const base::upstream_id& id) { records_.erase(id); }
+
+ private:
+  struct question {
+    std::size_t authority = 0;
+    base::instant asked_at;
+  };
+  struct record {
+    std::optional<question> open{};
+    std::optional<base::instant> permit_start{};
+    std::vector<base::instant> ask_again_at;  ///< By authority.
+  };
+
+  record* answered(const base::upstream_id& id, std::size_t authority, base::instant asked_at);
+  void give_up_unanswered(record& entry, base::instant now);
+  base::duration jitter() const;
+
+  permit_options options_;
+  base::random_hook random_;
+  std::map<base::upstream_id, record> records_;
+  std::vector<base::instant> silent_until_;  ///< By authority.
+};
+
+}  // namespace catkintack::choice
--- a/include/catkintack/control/feed_message.hpp
+++ b/include/catkintack/control/feed_message.hpp
@@ -9,6 +9,7 @@
 
 #include "catkintack/base/address.hpp"
 #include "catkintack/control/change_batch.hpp"
+#include "catkintack/control/limit_report.hpp"
 #include "catkintack/control/registry_revision.hpp"
 #include "catkintack/control/registry_snapshot.hpp"
 
@@ -52,13 +53,15 @@
   /// Serialized and compressed feed_changes, the same bytes for all subscribers that need the same
   /// changes. Empty if there are none.
   std::string changes{};
+  /// Limits of upstreams that began, ended or changed since the previous message.
+  std::vector<limit_report> limits{};
   /// Set if the publisher has no capacity; other hosts to try.
   std::vector<base::address> alternatives{};
 
   /// @brief Serializes with cereal.
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(hops, age_us, changes, alternatives);
+    archive(hops, age_us, changes, limits, alternatives);
   }
 };
 
--- a/include/catkintack/control/feed_server.hpp
+++ b/include/catkintack/control/feed_server.hpp
@@ -68,7 +68,8 @@
     base::failure_domain_id failure_domain;
     bool watches_registry = false;
     boost::asio::steady_timer timer;
-    registry_revision sent_revision;  ///< Revision of the last message sent.
+    registry_revision sent_revision;      ///< Revision of the last message sent.
+    std::uint64_t sent_limit_change = 0;  ///< Last change of a limit that was sent.
     base::instant sent_at = base::instant::min();
     bool wants_large_tables = false;
     bool pending_change = false;  ///< A change arrived while a message was being sent.
--- a/include/catkintack/control/host_settings.hpp
+++ b/include/catkintack/control/host_settings.hpp
@@ -25,7 +25,10 @@
   base::address callers;                                       ///< Listening address for callers.
   /// Listening address for the balancer's readiness check and for metrics.
   base::address readiness;
-  base::address peers;               ///< Listening address for other hosts.
+  base::address peers;  ///< Listening address for other hosts.
+  /// UDP address for the exchange of permits; the same port is used on all hosts. That of `peers`
+  /// if not set.
+  base::address permits;
   base::address registry;            ///< Address of the registry of routes and upstreams.
   std::vector<base::address> seeds;  ///< Hosts to synchronize from; these watch the registry.
   double repeat_ratio = 0.2;         ///< Retries per request, over all hosts.
--- /dev/null
+++ b/include/catkintack/control/permit_exchange.hpp
@@ -0,0 +1,72 @@
+/// @file
+/// Divides the limits that upstreams name among all hosts.
+#pragma once
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "catkintack/base/address.hpp"
+#include "catkintack/control/permit_message.hpp"
+#include "catkintack/limits/send_reservations.hpp"
+#include "catkintack/serving/io.hpp"
+#include "catkintack/serving/traffic_state.hpp"
+
+namespace catkintack::control {
+
+/// @brief Addresses and shares of a permit exchange.
+struct permit_exchange_options {
+  base::address self{};  ///< UDP address of this host.
+  /// UDP addresses of the authorities, the same on all hosts.
+  std::vector<base::address> authorities{};
+  /// Fraction of a limit that all authorities together give out. The rest covers hosts that still
+  /// ask the authorities of earlier settings.
+  double granted_fraction = 0.75;
+};
+
+/// @brief Requests permits for this host, and gives them out where this host is an authority. Not
+/// thread-safe.
+///
+/// Each authority gives out an equal, fixed part of a limit. So no authority has to know of another
+/// or of the other hosts, none takes over for another, and all together never exceed the limit; the
+/// part of an authority that is down is not used.
+class permit_exchange {
+ public:
+  /// @param io Must outlive the exchange.
+  /// @param state Provides the limits, permits, directory, log, metrics and clock.
+  permit_exchange(boost::asio::io_context& io,
+                  serving::traffic_state& state,
+                  permit_exchange_options options);
+
+  /// @brief Opens the socket and starts receiving.
+  /// @return The error if the address cannot be used.
+  boost::system::error_code open();
+  /// @brief Requests a permit unless one is in hand or was requested.
+  void request(const base::upstream_id& upstream);
+  /// @brief Tells all authorities what this host knows about the limit of an upstream.
+  void report(const base::upstream_id& upstream);
+
+ private:
+  /// Larger than any valid datagram, whose ids have at most some hundred characters.
+  static constexpr std::size_t max_datagram = 2048;
+
+  boost::asio::awaitable<void> receive();
+  void handle(const permit_message& message, const boost::asio::ip::udp::endpoint& sender);
+  permit_message answer(const permit_message& request);
+  void apply_reply(const permit_message& reply, std::size_t authority);
+  void send(const permit_message& message, const base::address& target);
+  bool is_authority() const;
+
+  serving::traffic_state& state_;
+  permit_exchange_options options_;
+  boost::asio::ip::udp::socket socket_;
+  boost::asio::steady_timer pause_;
+  limits::send_reservations reservations_;
+  std::array<char, max_datagram> buffer_{};
+};
+
+}  // namespace catkintack::control
--- a/include/catkintack/serving/serving_options.hpp
+++ b/include/catkintack/serving/serving_options.hpp
@@ -9,6 +9,7 @@
 #include "catkintack/base/units.hpp"
 #include "catkintack/choice/outlier_detector.hpp"
 #include "catkintack/choice/placement.hpp"
+#include "catkintack/choice/send_permits.hpp"
 #include "catkintack/limits/resend_budget.hpp"
 #include "catkintack/serving/upstream_protocol.hpp"
 
@@ -25,6 +26,7 @@
   upstream_protocol protocol;
   choice::placement_options placement;
   choice::outlier_options outlier_detection;
+  choice::permit_options permits;
   limits::resend_budget_options repeats;
 
   /// More probes gave no improvement with four upstreams per region.
--- a/include/catkintack/serving/status.hpp
+++ b/include/catkintack/serving/status.hpp
@@ -6,6 +6,7 @@
 
 inline constexpr unsigned ok = 200;
 inline constexpr unsigned no_content = 204;
+inline constexpr unsigned multiple_choices = 300;
 inline constexpr unsigned not_modified = 304;
 inline constexpr unsigned bad_request = 400;
 inline constexpr unsigned not_found = 404;
--- a/include/catkintack/serving/traffic_state.hpp
+++ b/include/catkintack/serving/traffic_state.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -11,6 +12,7 @@
 #include "catkintack/base/metric_registry.hpp"
 #include "catkintack/choice/outlier_detector.hpp"
 #include "catkintack/choice/route_statistics.hpp"
+#include "catkintack/choice/send_permits.hpp"
 #include "catkintack/choice/upstream_limits.hpp"
 #include "catkintack/choice/upstream_pauses.hpp"
 #include "catkintack/directory/endpoint_directory.hpp"
@@ -20,6 +22,7 @@
 #include "catkintack/routes/route_table.hpp"
 #include "catkintack/serving/connection_pool.hpp"
 #include "catkintack/serving/in_flight_sends.hpp"
+#include "catkintack/serving/limit_knowledge.hpp"
 #include "catkintack/serving/serving_options.hpp"
 #include "catkintack/serving/stop_stage.hpp"
 
@@ -47,6 +50,11 @@
   choice::outlier_detector outlier_detector;
   choice::upstream_pauses pauses;
   choice::upstream_limits upstream_limits;
+  choice::send_permits permits;  ///< For the upstreams that named a limit.
+  /// Requests a permit for an upstream unless one is in hand or was requested; may be unset.
+  std::function<void(const base::upstream_id&)> request_permit;
+  /// Called when the limit of an upstream began, ended or changed; may be unset.
+  std::function<void(const base::upstream_id&, limit_observer)> on_limit_changed;
   limits::resend_budget repeats;
   limits::byte_budget remote_bytes;  ///< Budget for traffic between regions.
   in_flight_sends in_flight;
@@ -60,6 +68,15 @@
     const base::instant now = clock();
     return upstreams.is_available(id, now) && !pauses.end_of(id, now);
   }
+  /// @brief Whether the limit of an upstream, if it named one, allows this host a call now.
+  bool within_limit(const base::upstream_id& id) const {
+    return !upstream_limits.limit_of(id) || permits.usable(id, clock());
+  }
+  /// @brief Uses up the permit for one call to an upstream that named a limit.
+  /// @return False if the limit does not allow the call.
+  bool take_permit(const base::upstream_id& id) {
+    return !upstream_limits.limit_of(id) || permits.take(id, clock());
+  }
   /// @brief Whether the readiness check should direct new callers to this host.
   bool ready() const { return stop == stop_stage::running && table && upstreams.size() > 0; }
 };
--- a/include/catkintack/serving/upstream_notice.hpp
+++ b/include/catkintack/serving/upstream_notice.hpp
@@ -24,7 +24,7 @@
   /// It accepts so many requests from all hosts together.
   std::optional<base::request_rate> limit{};
   std::string unusable_limit{};  ///< Text of a malformed limit, which neither sets nor ends one.
-  bool names_no_limit = false;  ///< An answer to a call without a limit, which ends an earlier one.
+  bool names_no_limit = false;   ///< A success without a limit, which ends an earlier one.
 };
 
 /// @brief The kind of response that a notice came with.
--- a/src/catkintack/control/feed_client.cpp
+++ b/src/catkintack/control/feed_client.cpp
@@ -122,6 +122,9 @@
   if (!message.changes.empty() && !apply_changes(message.changes, source, reason)) {
     return false;
   }
+  for (const limit_report& report : message.limits) {
+    apply_limit_report(state_, report, source);
+  }
   const base::duration age(message.age_us);
   slot.confirmed_at = state_.clock() - age;
   slot.hops = message.hops;
--- a/src/catkintack/control/feed_server.cpp
+++ b/src/catkintack/control/feed_server.cpp
@@ -147,6 +147,8 @@
     message.changes = changes_for(host);
   }
   host.sent_revision = replica_.revision();
+  message.limits = limit_reports_since(state_, host.sent_limit_change);
+  host.sent_limit_change = state_.upstream_limits.last_change();
   return encode(message);
 }
 
--- a/src/catkintack/control/feed_test.cpp
+++ b/src/catkintack/control/feed_test.cpp
@@ -380,6 +380,29 @@
   ASSERT_TRUE(run_until(io, [&] { return detached.server.subscriber_count() == 0; }));
 }
 
+// Hosts that have not been told by the upstream itself must keep to its limit as well.
+TEST(feed, limits_of_upstreams_reach_hosts_below_a_relay) {
+  asio::io_context io;
+  feed_host root(io, {}, {.heartbeat_interval = milliseconds(5)});
+  feed_host relay(io, {root.feed_address}, {.heartbeat_interval = milliseconds(5)});
+  feed_host host(io, {relay.feed_address});
+  root.replica.set_watching(true);
+  root.replica.apply_snapshot(make_snapshot(), "registry");
+  ASSERT_TRUE(run_until(io, [&] { return host.replica.revision() == root.replica.revision(); }));
+  const base::upstream_id upstream("a");
+  const auto observe = [&](std::optional<base::request_rate> limit) {
+    serving::observe_limit(root.state, upstream,
+                           {.limit = limit, .observed_at = root.state.clock()},
+                           serving::limit_observer::this_host, "response");
+  };
+  observe(base::request_rate(2.5));
+  ASSERT_TRUE(run_until(io, [&] {
+    return host.state.upstream_limits.limit_of(upstream) == base::request_rate(2.5);
+  }));
+  observe(std::nullopt);
+  EXPECT_TRUE(run_until(io, [&] { return !host.state.upstream_limits.limit_of(upstream); }));
+}
+
 TEST(feed, subscribers_of_another_failure_domain_relay_to_the_rest_of_it) {
   asio::io_context io;
   feed_host root(io, {}, {.subscribers_per_other_domain = 1});
--- /dev/null
+++ b/src/catkintack/control/permit_exchange.cpp
@@ -0,0 +1,178 @@
+#include "catkintack/control/permit_exchange.hpp"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <utility>
+
+#include "catkintack/control/message_channel.hpp"
+
+namespace catkintack::control {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using serving::no_throw;
+
+// Wait of a refusal by an authority that does not know the upstream yet.
+constexpr base::duration unknown_upstream_wait = std::chrono::milliseconds(500);
+constexpr base::duration max_wait = std::chrono::minutes(10);
+// Upstreams above this number are forgotten; each then starts with a full interval.
+constexpr std::size_t max_reservations = 10000;
+constexpr base::duration pause_after_error = std::chrono::milliseconds(100);
+
+udp::endpoint to_endpoint(const base::address& where, boost::system::error_code& error) {
+  return {asio::ip::make_address(where.ip, error), where.port};
+}
+
+}  // namespace
+
+permit_exchange::permit_exchange(asio::io_context& io,
+                                 serving::traffic_state& state,
+                                 permit_exchange_options options)
+    : state_(state), options_(std::move(options)), socket_(io), pause_(io) {}
+
+boost::system::error_code permit_exchange::open() {
+  boost::system::error_code error;
+  const udp::endpoint where = to_endpoint(options_.self, error);
+  if (!error) {
+    socket_.open(udp::v4(), error);
+  }
+  if (!error) {
+    socket_.bind(where, error);
+  }
+  if (!error) {
+    socket_.non_blocking(true, error);
+  }
+  if (!error) {
+    asio::co_spawn(socket_.get_executor(), receive(), asio::detached);
+  }
+  return error;
+}
+
+bool permit_exchange::is_authority() const {
+  return std::ranges::find(options_.authorities, options_.self) != options_.authorities.end();
+}
+
+void permit_exchange::request(const base::upstream_id& upstream) {
+  const base::instant now = state_.clock();
+  const auto authority = state_.permits.ask(upstream, now);
+  if (!authority) {
+    return;
+  }
+  state_.metrics.add("permit_requests_total");
+  const permit_message message{.kind = permit_message_kind::request,
+                               .upstream = upstream,
+                               .report = make_limit_report(state_, upstream),
+                               .asked_at_us = now.time_since_epoch().count()};
+  if (options_.authorities[*authority] == options_.self) {
+    apply_reply(answer(message), *authority);
+  } else {
+    send(message, options_.authorities[*authority]);
+  }
+}
+
+void permit_exchange::report(const base::upstream_id& upstream) {
+  const permit_message message{.kind = permit_message_kind::report,
+                               .upstream = upstream,
+                               .report = make_limit_report(state_, upstream)};
+  for (const base::address& authority : options_.authorities) {
+    if (authority != options_.self) {
+      send(message, authority);
+    }
+  }
+}
+
+permit_message permit_exchange::answer(const permit_message& request) {
+  const base::instant now = state_.clock();
+  permit_message reply{.kind = permit_message_kind::reply,
+                       .upstream = request.upstream,
+                       .report = make_limit_report(state_, request.upstream),
+                       .asked_at_us = request.asked_at_us,
+                       .wait_us = unknown_upstream_wait.count()};
+  if (const auto limit = state_.upstream_limits.limit_of(request.upstream)) {
+    if (reservations_.size() > max_reservations) {
+      reservations_ = limits::send_reservations();
+    }
+    const double share =
+        options_.granted_fraction / static_cast<double>(options_.authorities.size());
+    const limits::send_reservation reserved = reservations_.reserve(
+        request.upstream, base::request_rate(limit->per_second() * share), now);
+    reply.granted = reserved.granted;
+    reply.wait_us = reserved.wait.count();
+    state_.metrics.add(reserved.granted ? "permits_granted_total" : "permits_refused_total");
+  }
+  return reply;
+}
+
+void permit_exchange::apply_reply(const permit_message& reply, std::size_t authority) {
+  if (reply.wait_us < 0 || reply.wait_us > max_wait.count()) {
+    state_.log.write("permit_message_refused",
+                     {{"upstream", reply.upstream.value()}, {"why", "the wait is out of range"}});
+    return;
+  }
+  const base::instant asked_at{base::duration(reply.asked_at_us)};
+  const base::duration wait(reply.wait_us);
+  if (reply.granted) {
+    state_.permits.on_granted(reply.upstream, authority, asked_at, wait);
+  } else {
+    state_.permits.on_refused(reply.upstream, authority, asked_at, wait);
+  }
+}
+
+void permit_exchange::handle(const permit_message& message, const udp::endpoint& sender) {
+  const base::address from{sender.address().to_string(), sender.port()};
+  const std::string source = base::to_string(from);
+  if (message.report) {
+    apply_limit_report(state_, *message.report, source);
+  }
+  if (message.kind == permit_message_kind::reply) {
+    const auto authority = std::ranges::find(options_.authorities, from);
+    if (authority != options_.authorities.end()) {
+      apply_reply(message, static_cast<std::size_t>(authority - options_.authorities.begin()));
+    }
+  } else if (message.kind == permit_message_kind::request && is_authority()) {
+    send(answer(message), from);
+  }
+}
+
+void permit_exchange::send(const permit_message& message, const base::address& target) {
+  boost::system::error_code error;
+  const udp::endpoint where = to_endpoint(target, error);
+  const std::string bytes = encode(message);
+  if (!error) {
+    socket_.send_to(asio::buffer(bytes), where, 0, error);
+  }
+  if (error) {
+    // The other side treats a missing datagram like a lost one.
+    state_.metrics.add("permit_sends_failed_total");
+    state_.log.write("permit_send_failed",
+                     {{"host", base::to_string(target)}, {"why", error.message()}});
+  }
+}
+
+asio::awaitable<void> permit_exchange::receive() {
+  for (;;) {
+    udp::endpoint sender;
+    auto [error, count] =
+        co_await socket_.async_receive_from(asio::buffer(buffer_), sender, no_throw);
+    if (error == asio::error::operation_aborted) {
+      co_return;
+    }
+    if (error) {
+      state_.log.write("permit_receive_failed", {{"why", error.message()}});
+      pause_.expires_after(pause_after_error);
+      co_await pause_.async_wait(no_throw);
+      continue;
+    }
+    const auto message = decode<permit_message>(std::string(buffer_.data(), count));
+    if (message) {
+      handle(*message, sender);
+    } else {
+      state_.log.write("permit_message_refused", {{"host", sender.address().to_string()},
+                                                  {"why", "malformed, or of another version"}});
+    }
+  }
+}
+
+}  // namespace catkintack::control
--- /dev/null
+++ b/src/catkintack/control/permit_exchange_test.cpp
@@ -0,0 +1,190 @@
+#include "catkintack/control/permit_exchange.hpp"
+
+#include <gtest/gtest.h>
+
+#include "catkintack/control/message_channel.hpp"
+
+namespace catkintack::control {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const base::upstream_id press("press-1");
+
+base::address free_udp_address() {
+  asio::io_context io;
+  const udp::socket bound(io, {asio::ip::make_address("127.0.0.1"), 0});
+  return {"127.0.0.1", bound.local_endpoint().port()};
+}
+
+/// @brief A host with a clock of its own, which the test moves.
+struct permit_host {
+  permit_host(asio::io_context& io, base::address self, std::vector<base::address> authorities)
+      : state(
+            make_options(authorities.size()),
+            [this] { return now; },
+            base::seeded_random_hook(1),
+            log),
+        exchange(io, state, {.self = std::move(self), .authorities = std::move(authorities)}) {
+    EXPECT_FALSE(exchange.open());
+    add_upstream(1);
+  }
+  static serving::serving_options make_options(std::size_t authority_count) {
+    serving::serving_options options;
+    options.permits.authority_count = authority_count;
+    return options;
+  }
+  void add_upstream(std::uint64_t run) {
+    directory::endpoint upstream;
+    upstream.record.id = press;
+    upstream.record.service = base::service_id("press");
+    upstream.run = base::incarnation(run);
+    state.upstreams.upsert(upstream, now);
+  }
+  void observe(std::optional<base::request_rate> limit) {
+    serving::observe_limit(state, press, {.limit = limit, .observed_at = now},
+                           serving::limit_observer::this_host, "response");
+  }
+
+  base::instant now{seconds(1000)};
+  std::vector<std::string> log_lines;
+  logging::structured_log log{[] { return base::wall_time(); }, [this] { return now; },
+                              [this](const std::string& line) { log_lines.push_back(line); }};
+  serving::traffic_state state;
+  permit_exchange exchange;
+};
+
+/// @brief An authority and another host, with clocks that differ by minutes.
+struct permit_fleet {
+  permit_fleet() { other.now += std::chrono::minutes(7); }
+
+  bool run_until(const std::function<bool()>& holds) {
+    const auto limit = std::chrono::steady_clock::now() + seconds(20);
+    while (!holds() && std::chrono::steady_clock::now() < limit) {
+      io.run_one_for(milliseconds(20));
+    }
+    return holds();
+  }
+  void pass(base::duration time) {
+    authority.now += time;
+    other.now += time;
+  }
+
+  asio::io_context io;
+  base::address where = free_udp_address();
+  permit_host authority{io, where, {where}};
+  permit_host other{io, free_udp_address(), {where}};
+};
+
+TEST(permit_exchange, host_is_granted_a_send_by_an_authority_that_knew_no_limit_yet) {
+  permit_fleet fleet;
+  fleet.other.observe(base::request_rate(4));
+  fleet.other.exchange.request(press);
+  const auto answered = [&] {
+    return fleet.other.state.permits.next_chance(press, fleet.other.now) - fleet.other.now !=
+           milliseconds(300);
+  };
+  ASSERT_TRUE(fleet.run_until(answered));
+  EXPECT_EQ(fleet.authority.state.upstream_limits.limit_of(press), base::request_rate(4));
+  // Three quarters of 4 a second, and the first of them after one interval.
+  fleet.pass(milliseconds(334));
+  EXPECT_TRUE(fleet.other.state.take_permit(press));
+  EXPECT_FALSE(fleet.other.state.take_permit(press));
+}
+
+TEST(permit_exchange, authority_grants_itself_sends_without_a_message) {
+  permit_fleet fleet;
+  fleet.authority.observe(base::request_rate(4));
+  fleet.authority.exchange.request(press);
+  fleet.pass(milliseconds(334));
+  EXPECT_TRUE(fleet.authority.state.take_permit(press));
+}
+
+TEST(permit_exchange, host_that_asks_is_told_that_the_limit_has_ended) {
+  permit_fleet fleet;
+  fleet.other.observe(base::request_rate(4));
+  fleet.authority.observe(base::request_rate(4));
+  fleet.pass(seconds(2));
+  fleet.authority.observe(std::nullopt);
+  fleet.other.exchange.request(press);
+  EXPECT_TRUE(fleet.run_until([&] { return !fleet.other.state.upstream_limits.limit_of(press); }));
+}
+
+TEST(permit_exchange, authority_is_told_of_the_end_of_a_limit) {
+  permit_fleet fleet;
+  fleet.authority.observe(base::request_rate(4));
+  fleet.other.observe(base::request_rate(4));
+  fleet.pass(seconds(2));
+  fleet.other.observe(std::nullopt);
+  fleet.other.exchange.report(press);
+  EXPECT_TRUE(
+      fleet.run_until([&] { return !fleet.authority.state.upstream_limits.limit_of(press); }));
+}
+
+TEST(permit_exchange, report_about_an_earlier_run_of_an_upstream_is_ignored) {
+  permit_fleet fleet;
+  fleet.authority.add_upstream(2);
+  fleet.other.observe(base::request_rate(4));
+  fleet.other.exchange.report(press);
+  fleet.other.add_upstream(2);
+  fleet.pass(seconds(1));
+  fleet.other.observe(base::request_rate(9));
+  fleet.other.exchange.report(press);
+  ASSERT_TRUE(fleet.run_until(
+      [&] { return fleet.authority.state.upstream_limits.limit_of(press).has_value(); }));
+  EXPECT_EQ(fleet.authority.state.upstream_limits.limit_of(press), base::request_rate(9));
+  EXPECT_EQ(fleet.authority.state.upstream_limits.last_change(), 1U);
+}
+
+// Guards against a process that ends, or believes nonsense, after one malformed message.
+TEST(permit_exchange, malformed_datagrams_change_nothing) {
+  permit_fleet fleet;
+  udp::socket sender(fleet.io, udp::v4());
+  const udp::endpoint target(asio::ip::make_address(fleet.where.ip), fleet.where.port);
+  permit_message message{.kind = permit_message_kind::report,
+                         .upstream = press,
+                         .report = limit_report{.upstream = press, .run = base::incarnation(1)}};
+  const auto send = [&](const std::string& bytes) { sender.send_to(asio::buffer(bytes), target); };
+  send("");
+  send(std::string(1500, '\xff'));
+  const std::string valid = encode(message);
+  for (std::size_t length = 0; length < valid.size(); ++length) {
+    send(valid.substr(0, length));
+  }
+  for (const double rate :
+       {-1.0, std::numeric_limits<double>::quiet_NaN(), std::numeric_limits<double>::infinity()}) {
+    message.report->limit = base::request_rate(rate);
+    send(encode(message));
+  }
+  message.report->limit = base::request_rate(3);
+  message.report->age_us = std::numeric_limits<std::int64_t>::min();
+  send(encode(message));
+  message.kind = permit_message_kind::reply;
+  message.report.reset();
+  message.granted = true;
+  message.wait_us = -1;
+  send(encode(message));
+  message.kind = static_cast<permit_message_kind>(77);
+  send(encode(message));
+  fleet.other.observe(base::request_rate(5));
+  fleet.other.exchange.report(press);
+  ASSERT_TRUE(fleet.run_until(
+      [&] { return fleet.authority.state.upstream_limits.limit_of(press).has_value(); }));
+  EXPECT_EQ(fleet.authority.state.upstream_limits.limit_of(press), base::request_rate(5));
+  EXPECT_EQ(fleet.authority.state.upstream_limits.last_change(), 1U);
+}
+
+TEST(permit_exchange, host_goes_on_while_no_authority_exists) {
+  asio::io_context io;
+  permit_host alone(io, free_udp_address(), {});
+  alone.observe(base::request_rate(4));
+  alone.exchange.request(press);
+  alone.exchange.report(press);
+  EXPECT_FALSE(alone.state.take_permit(press));
+}
+
+}  // namespace
+}  // namespace catkintack::control
--- a/src/catkintack/control/read_host_settings.cpp
+++ b/src/catkintack/control/read_host_settings.cpp
@@ -146,6 +146,7 @@
       {"listen.callers", true, address_value(&host_settings::callers)},
       {"listen.readiness", true, address_value(&host_settings::readiness)},
       {"listen.peers", true, address_value(&host_settings::peers)},
+      {"listen.permits", false, address_value(&host_settings::permits)},
       {"registry.address", true, address_value(&host_settings::registry)},
       {"peers.seeds", false, address_list_value()},
       {"repeats.ratio", false, number_value(&host_settings::repeat_ratio)},
@@ -212,6 +213,9 @@
           base::region_id(value);
     }
   }
+  if (result.permits.port == 0) {
+    result.permits = result.peers;
+  }
   if (!problems.empty()) {
     problems.pop_back();
     return leaf::new_error(host_settings_error{problems});
--- a/src/catkintack/control/registry_replica.cpp
+++ b/src/catkintack/control/registry_replica.cpp
@@ -53,6 +53,8 @@
   const auto* const known = state_.upstreams.find(upstream.record.id);
   if (known != nullptr && known->listed.run < upstream.run) {
     state_.pauses.forget(upstream.record.id);
+    state_.upstream_limits.forget(upstream.record.id);
+    state_.permits.forget(upstream.record.id);
   }
   if (state_.upstreams.upsert(upstream, state_.clock())) {
     state_.log.write("upstream_changed", {{"upstream", upstream.record.id.value()},
--- /dev/null
+++ b/src/catkintack/limits/send_reservations_test.cpp
@@ -0,0 +1,51 @@
+#include "catkintack/limits/send_reservations.hpp"
+
+#include <gtest/gtest.h>
+
+namespace catkintack::limits {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const base::upstream_id press("press-1");
+constexpr base::instant start{seconds(100)};
+
+TEST(send_reservations, sends_are_one_interval_apart) {
+  send_reservations reservations;
+  const base::request_rate rate(4);
+  const base::instant later = start + seconds(10);
+  reservations.reserve(press, rate, start);
+  EXPECT_EQ(reservations.reserve(press, rate, later).wait, milliseconds(0));
+  EXPECT_EQ(reservations.reserve(press, rate, later).wait, milliseconds(250));
+  EXPECT_EQ(reservations.reserve(press, rate, later).wait, milliseconds(500));
+}
+
+// An authority that restarts has lost the record of its grants.
+TEST(send_reservations, first_send_is_one_interval_after_the_first_question) {
+  send_reservations reservations;
+  const send_reservation first = reservations.reserve(press, base::request_rate(4), start);
+  EXPECT_TRUE(first.granted);
+  EXPECT_EQ(first.wait, milliseconds(250));
+}
+
+TEST(send_reservations, sends_beyond_the_horizon_are_refused_until_they_come_near) {
+  send_reservations reservations(seconds(1));
+  const base::request_rate rate(0.5);
+  const send_reservation refused = reservations.reserve(press, rate, start);
+  EXPECT_FALSE(refused.granted);
+  EXPECT_EQ(refused.wait, seconds(1));
+  EXPECT_TRUE(reservations.reserve(press, rate, start + refused.wait).granted);
+}
+
+TEST(send_reservations, nothing_is_given_out_at_a_rate_of_zero) {
+  send_reservations reservations;
+  for (int i = 0; i < 1000; ++i) {
+    const auto answer = reservations.reserve(press, base::request_rate(0), start + seconds(i));
+    ASSERT_FALSE(answer.granted);
+    ASSERT_GT(answer.wait, seconds(0));
+  }
+}
+
+}  // namespace
+}  // namespace catkintack::limits
--- a/src/catkintack/serving/frontend_server.cpp
+++ b/src/catkintack/serving/frontend_server.cpp
@@ -90,6 +90,8 @@
       state_.pool.close_all(id);
       state_.outlier_detector.forget(id);
       state_.pauses.forget(id);
+      state_.upstream_limits.forget(id);
+      state_.permits.forget(id);
       state_.log.write("upstream_expired", {{"upstream", id.value()}});
     }
     sessions_.remove_if([](const auto& session) { return session.expired(); });
--- a/src/catkintack/serving/traffic_state.cpp
+++ b/src/catkintack/serving/traffic_state.cpp
@@ -14,6 +14,7 @@
       log(log_target),
       pool(options.max_idle_per_upstream, options.max_idle_time),
       outlier_detector(options.outlier_detection),
+      permits(options.permits, random),
       repeats(options.repeats),
       remote_bytes(options.remote_bytes_per_second, options.remote_bytes_burst) {}
 
--- a/src/catkintack/serving/upstream_limit_test.cpp
+++ b/src/catkintack/serving/upstream_limit_test.cpp
@@ -88,5 +88,86 @@
   EXPECT_LE(fleet.upstream().received.size() - received_while_told, allowed);
 }
 
+TEST(upstream_limit, call_goes_to_another_upstream_without_a_permit) {
+  serving_fixture world;
+  world.set_route(delivery_kind::at_most_once);
+  auto& limited = world.add("a", limited_reply);
+  directory::endpoint neighbour = world.state.upstreams.find(base::upstream_id("a"))->listed;
+  neighbour.record.failure_domain = world.state.options.failure_domain;
+  world.state.upstreams.upsert(neighbour, world.state.clock());
+  scripted_caller caller(world);
+  caller.get("one");
+  ASSERT_TRUE(caller.wait_for("hello"));
+  world.add("b", [](const received_request& request) -> scripted_reply {
+    return {.bytes = valid_response(request, "other")};
+  });
+  std::vector<std::string> asked;
+  world.state.request_permit = [&](const auto& id) { asked.push_back(id.value()); };
+  const int probes = limited.probes;
+  caller.get("two");
+  ASSERT_TRUE(caller.wait_for("other"));
+  EXPECT_EQ(limited.received.size(), 1U);
+  EXPECT_EQ(limited.probes, probes);
+  EXPECT_EQ(asked, std::vector<std::string>{"a"});
+}
+
+TEST(upstream_limit, permit_allows_one_call) {
+  serving_fixture world([](serving_options& options) { options.permits.authority_count = 1; });
+  world.set_route(delivery_kind::at_most_once);
+  auto& limited = world.add("a", limited_reply);
+  scripted_caller caller(world);
+  caller.get("one");
+  ASSERT_TRUE(caller.wait_for("Request-Id: one"));
+  const base::upstream_id id(limited.id);
+  const base::instant now = world.state.clock();
+  const auto authority = world.state.permits.ask(id, now);
+  ASSERT_TRUE(authority);
+  world.state.permits.on_granted(id, *authority, now, base::duration(0));
+  caller.get("two");
+  ASSERT_TRUE(caller.wait_for("Request-Id: two"));
+  caller.get("three");
+  ASSERT_TRUE(caller.wait_for("HTTP/1.1 503"));
+  EXPECT_EQ(limited.received.size(), 2U);
+}
+
+TEST(upstream_limit, caller_is_told_when_to_return_if_all_upstreams_are_at_their_limits) {
+  serving_fixture world;
+  world.set_route(delivery_kind::at_most_once);
+  world.add("a", limited_reply);
+  scripted_caller caller(world);
+  caller.get("one");
+  ASSERT_TRUE(caller.wait_for("hello"));
+  caller.get("two");
+  ASSERT_TRUE(caller.wait_for("HTTP/1.1 503"));
+  EXPECT_NE(caller.received_bytes.find("Retry-After: 5"), std::string::npos)
+      << caller.received_bytes;
+}
+
+TEST(upstream_limit, success_without_the_header_ends_the_limit) {
+  base::instant now = base::system_clock_hook()();
+  serving_fixture world([](serving_options& options) { options.permits.authority_count = 1; },
+                        [&] { return now; });
+  world.set_route(delivery_kind::at_most_once);
+  bool in_need = true;
+  auto& upstream = world.add("a", [&](const received_request& request) -> scripted_reply {
+    return in_need ? limited_reply(request)
+                   : scripted_reply{.bytes = valid_response(request, "hello")};
+  });
+  scripted_caller caller(world);
+  caller.get("one");
+  ASSERT_TRUE(caller.wait_for("Request-Id: one"));
+  in_need = false;
+  now += std::chrono::seconds(2);
+  const base::upstream_id id(upstream.id);
+  const auto authority = world.state.permits.ask(id, now);
+  ASSERT_TRUE(authority);
+  world.state.permits.on_granted(id, *authority, now, base::duration(0));
+  for (const std::string call : {"two", "three", "four"}) {
+    caller.get(call);
+    ASSERT_TRUE(caller.wait_for("Request-Id: " + call));
+  }
+  EXPECT_EQ(upstream.received.size(), 4U);
+}
+
 }  // namespace
 }  // namespace catkintack::serving
--- a/src/catkintack/serving/upstream_notice.cpp
+++ b/src/catkintack/serving/upstream_notice.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <string>
 
+#include "catkintack/serving/limit_knowledge.hpp"
 #include "catkintack/serving/status.hpp"
 #include "catkintack/serving/traffic_state.hpp"
 
@@ -32,17 +33,15 @@
                                                {"value", notice.unusable_limit},
                                                {"why", "not a number of 0 or more"}});
   }
-  const std::optional<base::request_rate> before = state.upstream_limits.limit_of(upstream);
-  const bool changed = notice.limit
-                           ? state.upstream_limits.on_named(upstream, *notice.limit)
-                           : notice.names_no_limit && state.upstream_limits.on_ended(upstream);
-  if (changed) {
-    state.metrics.add("upstream_limit_changes_total");
-    state.log.write("upstream_limited",
-                    {{"upstream", upstream.value()},
-                     {"per_second", base::to_string(state.upstream_limits.limit_of(upstream))},
-                     {"before", base::to_string(before)},
-                     {"source", source == notice_source::call ? "response" : "probe"}});
+  // An answer that the upstream began before it named the limit may arrive after that.
+  constexpr base::duration overtaking_time = std::chrono::seconds(1);
+  const base::instant now = state.clock();
+  const bool ended =
+      notice.names_no_limit &&
+      now - overtaking_time >= state.upstream_limits.observation_of(upstream).observed_at;
+  if (notice.limit || ended) {
+    observe_limit(state, upstream, {.limit = notice.limit, .observed_at = now},
+                  limit_observer::this_host, source == notice_source::call ? "response" : "probe");
   }
 }
 
@@ -77,7 +76,8 @@
   if (has_limit && !result.limit) {
     result.unusable_limit = limit;
   }
-  result.names_no_limit = !has_limit && headers.count(protocol.proof) > 0;
+  result.names_no_limit = !has_limit && status >= status::ok && status < status::multiple_choices &&
+                          headers.count(protocol.proof) > 0;
   return result;
 }
 
--- a/src/catkintack/serving/upstream_notice_test.cpp
+++ b/src/catkintack/serving/upstream_notice_test.cpp
@@ -65,10 +65,11 @@
 }
 
 // A response that another program may have sent is no statement of the upstream.
-TEST(upstream_notice, only_a_proven_answer_without_a_limit_ends_one) {
+TEST(upstream_notice, only_a_proven_success_without_a_limit_ends_one) {
   http::fields headers;
-  EXPECT_FALSE(read_notice(502, headers, {}).names_no_limit);
+  EXPECT_FALSE(read_notice(200, headers, {}).names_no_limit);
   headers.set("Catkintack-Proof", "p");
+  EXPECT_FALSE(read_notice(503, headers, {}).names_no_limit);
   EXPECT_TRUE(read_notice(200, headers, {}).names_no_limit);
 }
 
--- a/src/catkintack/serving/upstream_selection.cpp
+++ b/src/catkintack/serving/upstream_selection.cpp
@@ -37,7 +37,7 @@
     const routing::upstream_record& record = endpoint->listed.record;
     const upstream_distance where = distance_to(record, state.options);
     if ((where == upstream_distance::other_region) != other_regions || tried.contains(record.id) ||
-        state.pauses.end_of(record.id, now)) {
+        state.pauses.end_of(record.id, now) || !state.within_limit(record.id)) {
       continue;
     }
     result.push_back({.id = record.id,
@@ -49,8 +49,30 @@
   return result;
 }
 
-/// @brief Returns the time until the first paused upstream of a service accepts requests again, or
-/// nothing if none is paused.
+/// @brief Requests permits for the upstreams of a service that named a limit.
+/// @param whole_region False for those in this host's own failure domain only.
+void request_permits(const traffic_state& state,
+                     const base::service_id& service,
+                     bool whole_region) {
+  if (state.upstream_limits.empty() || !state.request_permit) {
+    return;
+  }
+  const base::instant now = state.clock();
+  std::vector<base::upstream_id> limited;
+  for (const auto* const endpoint : state.upstreams.available(service, now)) {
+    const routing::upstream_record& record = endpoint->listed.record;
+    const upstream_distance where = distance_to(record, state.options);
+    if (!state.within_limit(record.id) && !state.pauses.end_of(record.id, now) &&
+        (where == upstream_distance::same_failure_domain ||
+         (whole_region && where == upstream_distance::same_region))) {
+      limited.push_back(record.id);
+    }
+  }
+  std::ranges::for_each(limited, state.request_permit);
+}
+
+/// @brief Returns the time until the first upstream of a service that is paused or at its limit may
+/// accept requests again, or nothing if there is none.
 std::optional<base::duration> time_until_resumed(const traffic_state& state,
                                                  const base::service_id& service) {
   const base::instant now = state.clock();
@@ -58,6 +80,9 @@
   for (const auto* const endpoint : state.upstreams.available(service, now)) {
     if (const auto end = state.pauses.end_of(endpoint->listed.record.id, now)) {
       result = std::min(result.value_or(*end - now), *end - now);
+    } else if (!state.within_limit(endpoint->listed.record.id)) {
+      const base::duration wait = state.permits.next_chance(endpoint->listed.record.id, now) - now;
+      result = std::min(result.value_or(wait), wait);
     }
   }
   return result;
@@ -152,6 +177,7 @@
   asio::awaitable<void> run() {
     round_ = std::make_shared<probe_round>(state_, executor_);
     local_candidates_.clear();
+    request_permits(state_, service_, false);
     auto in_region = list_candidates(state_, service_, tried_, false);
     auto region =
         choice::select_subset(std::move(in_region), state_.options.host, state_.options.neighbours);
@@ -165,6 +191,9 @@
       auto remote = list_candidates(state_, service_, tried_, true);
       co_await probe_and_place(std::move(remote), search_scope::everywhere);
     }
+    if (result.decision.action != choice::placement_action::send) {
+      request_permits(state_, service_, true);
+    }
     const auto resumed_in = time_until_resumed(state_, service_);
     if (result.decision.action != choice::placement_action::send && resumed_in &&
         probed_candidates().empty()) {
@@ -189,8 +218,10 @@
     if (!result.connection || !result.connection->reusable()) {
       result.connection = co_await connect_to(state_, executor_, result.upstream);
     }
-    if (result.connection && !state_.accepts_requests(result.upstream)) {
-      // The upstream announced a pause or its departure while the connection was being opened.
+    if (result.connection &&
+        (!state_.accepts_requests(result.upstream) || !state_.take_permit(result.upstream))) {
+      // The upstream announced a pause, a limit or its departure while the connection was being
+      // opened, or another call used up the permit.
       state_.pool.release(std::move(result.connection), state_.clock());
     }
   }
