Give out whole limits; send rarely when no authority answers

Two gaps of the permits:

A quarter of each limit was held back for hosts that still ask the seeds of earlier settings. A limit that an upstream names is its whole rate; two lists that differ in one seed exceed it by a third at most, for as long as hosts use both, below the half that is tolerated. Each seed now gives out its equal part of the whole.

Only a send shows that a limit has ended. Hosts whose seeds are all gone (replaced at other addresses) got no permit any more and would have shunned the upstream for good. After 10 s without an answer a host sends at its part of the limit in a fleet of 1,000.

Grants are logged (permit_granted).

--- a/include/catkintack/choice/send_permits.hpp
+++ b/include/catkintack/choice/send_permits.hpp
@@ -10,6 +10,7 @@
 
 #include "catkintack/base/hooks.hpp"
 #include "catkintack/base/ids.hpp"
+#include "catkintack/base/request_rate.hpp"
 #include "catkintack/base/units.hpp"
 
 namespace catkintack::choice {
@@ -25,6 +26,10 @@
   /// Longest random addition to the time after which an authority is asked again, so that hosts do
   /// not ask in step.
   base::duration max_jitter = std::chrono::milliseconds(400);
+  /// Once no authority has answered for so long, the host sends without being permitted to, at its
+  /// part of the limit in the largest fleet: only a send shows whether the limit has ended.
+  base::duration unattended_after = std::chrono::seconds(10);
+  double largest_fleet = 1000;  ///< In hosts.
 };
 
 /// @brief Permits in hand, and which authority to ask for the next ones. Each permit is for one
@@ -44,7 +49,10 @@
 
   /// @brief Returns the authority to ask for a permit now, and records the question. Nothing while
   /// a permit is in hand or a question is open, or if no authority should be asked yet.
-  std::optional<std::size_t> ask(const base::upstream_id& id, base::instant now);
+  /// @param limit The limit of the upstream.
+  std::optional<std::size_t> ask(const base::upstream_id& id,
+                                 base::request_rate limit,
+                                 base::instant now);
   /// @brief Records a granted permit.
   /// @param asked_at Identifies the question; an answer to another one is ignored, so that a
   /// repeated answer grants nothing.
@@ -72,17 +80,21 @@
   struct record {
     std::optional<question> open{};
     std::optional<base::instant> permit_start{};
-    std::vector<base::instant> ask_again_at;  ///< By authority.
+    std::vector<base::instant> ask_again_at;       ///< By authority.
+    std::optional<base::instant> unattended_at{};  ///< Next send without an authority.
   };
 
   record* answered(const base::upstream_id& id, std::size_t authority, base::instant asked_at);
   void give_up_unanswered(record& entry, base::instant now);
+  void permit_unattended(record& entry, base::request_rate limit, base::instant now);
   base::duration jitter() const;
 
   permit_options options_;
   base::random_hook random_;
   std::map<base::upstream_id, record> records_;
   std::vector<base::instant> silent_until_;  ///< By authority.
+  /// First question since the last answer of any authority.
+  std::optional<base::instant> unanswered_since_{};
 };
 
 }  // namespace catkintack::choice
--- a/include/catkintack/control/limit_report.hpp
+++ b/include/catkintack/control/limit_report.hpp
@@ -13,22 +13,21 @@
 
 namespace catkintack::control {
 
-/// @brief An observation of a limit. Hosts do not share a clock, so it carries its age.
+/// @brief The limit of one upstream.
 struct limit_report {
   base::upstream_id upstream;
-  base::incarnation run;  ///< Incarnation of the upstream that the observation is about.
-  std::optional<base::request_rate> limit{};  ///< Empty if the upstream named none.
-  std::int64_t age_us = 0;                    ///< Time since the observation, in microseconds.
+  base::incarnation run;  ///< Incarnation of the upstream that named the limit.
+  choice::limit_state state;
 
   /// @brief Serializes with cereal.
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(upstream, run, limit, age_us);
+    archive(upstream, run, state.limit, state.version);
   }
 };
 
 /// @brief Describes what this host knows about an upstream.
-/// @return Nothing if the upstream is not in the directory or its limit was never observed.
+/// @return Nothing if the upstream is not in the directory or has not named a limit.
 std::optional<limit_report> make_limit_report(const serving::traffic_state& state,
                                               const base::upstream_id& upstream);
 
--- a/include/catkintack/control/permit_exchange.hpp
+++ b/include/catkintack/control/permit_exchange.hpp
@@ -23,9 +23,6 @@
   base::address self{};  ///< UDP address of this host.
   /// UDP addresses of the authorities, the same on all hosts.
   std::vector<base::address> authorities{};
-  /// Fraction of a limit that all authorities together give out. The rest covers hosts that still
-  /// ask the authorities of earlier settings.
-  double granted_fraction = 0.75;
 };
 
 /// @brief Requests permits for this host, and gives them out where this host is an authority. Not
@@ -56,7 +53,7 @@
 
   boost::asio::awaitable<void> receive();
   void handle(const permit_message& message, const boost::asio::ip::udp::endpoint& sender);
-  permit_message answer(const permit_message& request);
+  permit_message answer(const permit_message& request, const std::string& host);
   void apply_reply(const permit_message& reply, std::size_t authority);
   void send(const permit_message& message, const base::address& target);
   bool is_authority() const;
--- a/src/catkintack/choice/send_permits.cpp
+++ b/src/catkintack/choice/send_permits.cpp
@@ -62,10 +62,32 @@
   }
 }
 
-std::optional<std::size_t> send_permits::ask(const base::upstream_id& id, base::instant now) {
+void send_permits::permit_unattended(record& entry, base::request_rate limit, base::instant now) {
+  if (limit.per_second() <= 0 || !unanswered_since_ ||
+      now - *unanswered_since_ < options_.unattended_after) {
+    entry.unattended_at.reset();
+    return;
+  }
+  // A random part of the interval, so that hosts do not send in step.
+  constexpr std::uint64_t parts = 1000;
+  const double interval = options_.largest_fleet / limit.per_second();
+  const auto pause = std::chrono::duration_cast<base::duration>(std::chrono::duration<double>(
+      interval * 2 * static_cast<double>(1 + random_() % parts) / static_cast<double>(parts)));
+  if (entry.unattended_at && *entry.unattended_at <= now) {
+    entry.permit_start = now;
+    entry.unattended_at.reset();
+  }
+  entry.unattended_at = entry.unattended_at.value_or(now + pause);
+}
+
+std::optional<std::size_t> send_permits::ask(const base::upstream_id& id,
+                                             base::request_rate limit,
+                                             base::instant now) {
   record& entry = records_[id];
   entry.ask_again_at.resize(silent_until_.size(), base::instant::min());
   give_up_unanswered(entry, now);
+  unanswered_since_ = unanswered_since_.value_or(now);
+  permit_unattended(entry, limit, now);
   const bool in_hand = entry.permit_start && now <= *entry.permit_start + options_.validity;
   if (in_hand || entry.open) {
     return std::nullopt;
@@ -93,6 +115,7 @@
     return nullptr;
   }
   found->second.open.reset();
+  unanswered_since_.reset();
   return &found->second;
 }
 
--- a/src/catkintack/control/permit_exchange.cpp
+++ b/src/catkintack/control/permit_exchange.cpp
@@ -56,7 +56,8 @@
 
 void permit_exchange::request(const base::upstream_id& upstream) {
   const base::instant now = state_.clock();
-  const auto authority = state_.permits.ask(upstream, now);
+  const auto limit = state_.upstream_limits.limit_of(upstream);
+  const auto authority = limit ? state_.permits.ask(upstream, *limit, now) : std::nullopt;
   if (!authority) {
     return;
   }
@@ -66,7 +67,7 @@
                                .report = make_limit_report(state_, upstream),
                                .asked_at_us = now.time_since_epoch().count()};
   if (options_.authorities[*authority] == options_.self) {
-    apply_reply(answer(message), *authority);
+    apply_reply(answer(message, base::to_string(options_.self)), *authority);
   } else {
     send(message, options_.authorities[*authority]);
   }
@@ -83,7 +84,7 @@
   }
 }
 
-permit_message permit_exchange::answer(const permit_message& request) {
+permit_message permit_exchange::answer(const permit_message& request, const std::string& host) {
   const base::instant now = state_.clock();
   permit_message reply{.kind = permit_message_kind::reply,
                        .upstream = request.upstream,
@@ -94,13 +95,18 @@
     if (reservations_.size() > max_reservations) {
       reservations_ = limits::send_reservations();
     }
-    const double share =
-        options_.granted_fraction / static_cast<double>(options_.authorities.size());
-    const limits::send_reservation reserved = reservations_.reserve(
-        request.upstream, base::request_rate(limit->per_second() * share), now);
+    const base::request_rate share(limit->per_second() /
+                                   static_cast<double>(options_.authorities.size()));
+    const limits::send_reservation reserved = reservations_.reserve(request.upstream, share, now);
     reply.granted = reserved.granted;
     reply.wait_us = reserved.wait.count();
     state_.metrics.add(reserved.granted ? "permits_granted_total" : "permits_refused_total");
+    if (reserved.granted) {
+      state_.log.write("permit_granted", {{"upstream", request.upstream.value()},
+                                          {"host", host},
+                                          {"per_second", base::to_string(limit)},
+                                          {"wait_us", reserved.wait.count()}});
+    }
   }
   return reply;
 }
@@ -132,7 +138,7 @@
       apply_reply(message, static_cast<std::size_t>(authority - options_.authorities.begin()));
     }
   } else if (message.kind == permit_message_kind::request && is_authority()) {
-    send(answer(message), from);
+    send(answer(message, source), from);
   }
 }
 
--- a/src/catkintack/serving/upstream_notice.cpp
+++ b/src/catkintack/serving/upstream_notice.cpp
@@ -33,15 +33,9 @@
                                                {"value", notice.unusable_limit},
                                                {"why", "not a number of 0 or more"}});
   }
-  // An answer that the upstream began before it named the limit may arrive after that.
-  constexpr base::duration overtaking_time = std::chrono::seconds(1);
-  const base::instant now = state.clock();
-  const bool ended =
-      notice.names_no_limit &&
-      now - overtaking_time >= state.upstream_limits.observation_of(upstream).observed_at;
-  if (notice.limit || ended) {
-    observe_limit(state, upstream, {.limit = notice.limit, .observed_at = now},
-                  limit_observer::this_host, source == notice_source::call ? "response" : "probe");
+  if (notice.limit || notice.names_no_limit) {
+    observe_limit(state, upstream, notice.limit,
+                  source == notice_source::call ? "response" : "probe");
   }
 }
 
