Tell late copies of answers from the answer of a call without an id

Callers could get: the answer of an earlier call on the same upstream connection, if their request carried no id.

Cause: an answer counted as another call's only if the waiting call has an id. Upstreams repeat the id of the request, so an answer with one is not the answer of a call without.

Test: serving_path.late_copy_of_an_answer_is_not_given_to_a_call_without_an_id; failed before (the caller got the first call's answer).

--- a/src/catkintack/serving/exchange.cpp
+++ b/src/catkintack/serving/exchange.cpp
@@ -64,8 +64,7 @@
 
 bool is_stray(const response_parser& parser, const call& sent, const upstream_protocol& protocol) {
   const auto found = parser.get().find(protocol.request_id);
-  return found != parser.get().end() && !sent.id.empty() &&
-         to_string_view(found->value()) != sent.id;
+  return found != parser.get().end() && to_string_view(found->value()) != sent.id;
 }
 
 /// @brief Reads response heads until one belongs to the call; discards responses to earlier calls.
--- a/src/catkintack/serving/serving_path_test.cpp
+++ b/src/catkintack/serving/serving_path_test.cpp
@@ -336,6 +336,28 @@
   }
 }
 
+// Guards against a late second copy of an answer that the next caller on the connection gets.
+TEST(serving_path, late_copy_of_an_answer_is_not_given_to_a_call_without_an_id) {
+  serving_fixture world;
+  world.set_route(delivery_kind::at_most_once);
+  std::string first;
+  world.add("a", [&](const received_request& request) -> scripted_reply {
+    if (first.empty()) {
+      first = valid_response(request, "answer of one");
+      return {.bytes = first};
+    }
+    return {.bytes = first + valid_response(request, "own answer")};
+  });
+  scripted_caller caller(world);
+  caller.get("one");
+  ASSERT_TRUE(caller.wait_for("answer of one"));
+  scripted_caller other(world);
+  other.send("GET /p/x HTTP/1.1\r\nHost: a.example\r\n\r\n");
+  ASSERT_TRUE(other.wait_for("answer"));
+  EXPECT_TRUE(other.wait_for("own answer"));
+  EXPECT_EQ(other.received_bytes.find("answer of one"), std::string::npos);
+}
+
 TEST(planned_stop, running_call_is_finished_and_the_host_is_not_ready) {
   serving_fixture world([](serving_options& options) {
     options.stop_accepting_after = std::chrono::milliseconds(30);
