Answer requests that were accepted before a planned stop

Callers could see: a connection that ends without an answer during a planned stop.

Cause: the stop waited for calls that were read completely, not for requests that were being read; it closed idle sessions without a look at bytes that had arrived; and closing the listener resets connections that the kernel has accepted and the host has not.

Change: the stop waits until every session is idle and has no unread bytes, and what waits to be accepted is accepted before the listener closes.

--- a/include/catkintack/serving/caller_session.hpp
+++ b/include/catkintack/serving/caller_session.hpp
@@ -18,8 +18,8 @@
 
   /// @brief Serves the connection until it is closed.
   asio::awaitable<void> run();
-  /// @brief Whether the session is waiting for the next request.
-  bool idle() const { return idle_; }
+  /// @brief Whether the session is waiting for the next request and no byte of it has arrived.
+  bool idle();
   /// @brief Closes the connection immediately.
   void close();
 
--- a/include/catkintack/serving/frontend_server.hpp
+++ b/include/catkintack/serving/frontend_server.hpp
@@ -33,7 +33,9 @@
   asio::awaitable<void> serve_health_checks(beast::tcp_stream stream);
   asio::awaitable<void> run_maintenance();
   asio::awaitable<void> drain(std::function<void(std::size_t)> stopped);
-  void close_idle();
+  /// @brief Closes the idle sessions.
+  /// @return Whether all were idle.
+  bool close_idle();
 
   asio::io_context& io_;
   traffic_state& state_;
--- a/include/catkintack/serving/listener.hpp
+++ b/include/catkintack/serving/listener.hpp
@@ -28,14 +28,15 @@
                     connection_handler on_connection,
                     error_handler on_error);
 
-  /// @brief Stops accepting; connections already accepted are not affected.
+  /// @brief Stops accepting. Connections that wait to be accepted are still passed to the handler.
   void close();
 
  private:
-  asio::awaitable<void> accept_loop(connection_handler on_connection, error_handler on_error);
+  asio::awaitable<void> accept_loop(error_handler on_error);
 
   asio::io_context& io_;
   asio::ip::tcp::acceptor acceptor_;
+  connection_handler on_connection_;
 };
 
 }  // namespace catkintack::serving
--- a/src/catkintack/serving/caller_session.cpp
+++ b/src/catkintack/serving/caller_session.cpp
@@ -48,6 +48,15 @@
 caller_session::caller_session(traffic_state& state, beast::tcp_stream stream)
     : state_(state), stream_(std::move(stream)) {}
 
+bool caller_session::idle() {
+  if (!idle_ || !stream_.socket().is_open()) {
+    return idle_;
+  }
+  char byte = 0;
+  const ssize_t read = ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return read <= 0;
+}
+
 void caller_session::close() {
   error_code ignored;  // The socket is released even if close reports an error.
   stream_.socket().close(ignored);
--- a/src/catkintack/serving/frontend_server.cpp
+++ b/src/catkintack/serving/frontend_server.cpp
@@ -98,13 +98,17 @@
   }
 }
 
-void frontend_server::close_idle() {
+bool frontend_server::close_idle() {
+  bool all_idle = true;
   for (const auto& weak : sessions_) {
     const auto session = weak.lock();
     if (session && session->idle()) {
       session->close();
+    } else if (session) {
+      all_idle = false;
     }
   }
+  return all_idle;
 }
 
 void frontend_server::stop(std::function<void(std::size_t)> stopped) {
@@ -122,8 +126,7 @@
   state_.stop = stop_stage::refusing;
   caller_listener_.close();
   while (state_.clock() - started_at < state_.options.stop_limit) {
-    close_idle();
-    if (state_.open_calls == 0) {
+    if (close_idle()) {
       break;
     }
     co_await sleep_for(io_, drain_poll_interval);
--- a/src/catkintack/serving/listener.cpp
+++ b/src/catkintack/serving/listener.cpp
@@ -35,18 +35,28 @@
     (void)acceptor_.listen(backlog, error);
   }
   if (!error) {
-    asio::co_spawn(io_, accept_loop(std::move(on_connection), std::move(on_error)), asio::detached);
+    on_connection_ = std::move(on_connection);
+    asio::co_spawn(io_, accept_loop(std::move(on_error)), asio::detached);
   }
   return error;
 }
 
 void listener::close() {
+  // The kernel would reset the connections that it has accepted and this process has not.
+  error_code error;
+  acceptor_.non_blocking(true, error);
+  while (!error && on_connection_) {
+    asio::ip::tcp::socket socket(io_);
+    acceptor_.accept(socket, error);
+    if (!error) {
+      on_connection_(std::move(socket));
+    }
+  }
   error_code ignored;  // The socket is released even if close reports an error.
   acceptor_.close(ignored);
 }
 
-asio::awaitable<void> listener::accept_loop(connection_handler on_connection,
-                                            error_handler on_error) {
+asio::awaitable<void> listener::accept_loop(error_handler on_error) {
   asio::steady_timer pause(io_);
   while (acceptor_.is_open()) {
     auto [error, socket] = co_await acceptor_.async_accept(no_throw);
@@ -59,7 +69,7 @@
       co_await pause.async_wait(no_throw);
       continue;
     }
-    on_connection(std::move(socket));
+    on_connection_(std::move(socket));
   }
 }
 
