Log unexpected errors, and start services again after them

Cause: a coroutine that ended with an exception vanished without a log line. A probe whose connection was reset between connect and send threw, and its call waited for it to the limit. An exception in a handler ended the process.

Change: each is logged as task_failed, services start again after a second, and counts of open calls and pending probes are released. The probe asks for the remote address without an exception.

--- a/include/catkintack/serving/probe_round.hpp
+++ b/include/catkintack/serving/probe_round.hpp
@@ -37,6 +37,26 @@
   void finish();
 
  private:
+  /// @brief Counts a probe as pending until it has ended, also by an exception.
+  class pending_probe {
+   public:
+    explicit pending_probe(probe_round& round) : round_(round) {}
+    pending_probe(const pending_probe&) = delete;
+    pending_probe& operator=(const pending_probe&) = delete;
+    pending_probe(pending_probe&&) = delete;
+    pending_probe& operator=(pending_probe&&) = delete;
+    ~pending_probe() {
+      --round_.pending_;
+      round_.changed_.cancel();
+    }
+
+   private:
+    probe_round& round_;
+  };
+
+  static asio::awaitable<void> run_probe(std::shared_ptr<probe_round> self,
+                                         std::size_t index,
+                                         std::string health_path);
   asio::awaitable<void> probe(std::size_t index, std::string health_path);
   asio::awaitable<std::unique_ptr<upstream_connection>> connect(const base::upstream_id& id,
                                                                 base::duration limit,
--- a/src/catkintack/control/feed_client.cpp
+++ b/src/catkintack/control/feed_client.cpp
@@ -1,13 +1,12 @@
 #include "catkintack/control/feed_client.hpp"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <utility>
 
 #include "catkintack/control/compression.hpp"
 #include "catkintack/control/message_channel.hpp"
 #include "catkintack/control/retry_backoff.hpp"
+#include "catkintack/serving/task.hpp"
 
 namespace catkintack::control {
 namespace {
@@ -33,7 +32,8 @@
   const std::size_t count = std::min(options_.publisher_count, options_.seeds.size());
   for (std::size_t i = 0; i < count; ++i) {
     slots_.push_back(std::make_shared<publisher_slot>(executor_));
-    asio::co_spawn(executor_, run_slot(slots_.back()), asio::detached);
+    serving::spawn_service(executor_, state_.log, "subscription",
+                           [this, slot = slots_.back()] { return run_slot(slot); });
   }
 }
 
--- a/src/catkintack/control/feed_server.cpp
+++ b/src/catkintack/control/feed_server.cpp
@@ -1,12 +1,11 @@
 #include "catkintack/control/feed_server.hpp"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <utility>
 
 #include "catkintack/control/compression.hpp"
 #include "catkintack/control/message_channel.hpp"
+#include "catkintack/serving/task.hpp"
 #include "catkintack/serving/upstream_connection.hpp"
 
 namespace catkintack::control {
@@ -33,7 +32,8 @@
   return listener_.listen(
       where,
       [this](asio::ip::tcp::socket socket) {
-        asio::co_spawn(io_, serve(beast::tcp_stream(std::move(socket))), asio::detached);
+        serving::spawn_task(io_.get_executor(), state_.log, "feed",
+                            serve(beast::tcp_stream(std::move(socket))));
       },
       [this](const error_code& error) {
         state_.log.write("accept_failed", {{"why", error.message()}});
--- a/src/catkintack/control/permit_exchange.cpp
+++ b/src/catkintack/control/permit_exchange.cpp
@@ -1,11 +1,10 @@
 #include "catkintack/control/permit_exchange.hpp"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <utility>
 
 #include "catkintack/control/message_channel.hpp"
+#include "catkintack/serving/task.hpp"
 
 namespace catkintack::control {
 namespace {
@@ -45,7 +44,8 @@
     socket_.non_blocking(true, error);
   }
   if (!error) {
-    asio::co_spawn(socket_.get_executor(), receive(), asio::detached);
+    serving::spawn_service(socket_.get_executor(), state_.log, "permits",
+                           [this] { return receive(); });
   }
   return error;
 }
--- a/src/catkintack/serving/caller_session.cpp
+++ b/src/catkintack/serving/caller_session.cpp
@@ -38,6 +38,20 @@
           .body = "the request is malformed: " + error.message() + "\n"};
 }
 
+/// @brief Counts a call as open until it has ended, also by an exception.
+class open_call {
+ public:
+  explicit open_call(traffic_state& state) : state_(state) { ++state_.open_calls; }
+  open_call(const open_call&) = delete;
+  open_call& operator=(const open_call&) = delete;
+  open_call(open_call&&) = delete;
+  open_call& operator=(open_call&&) = delete;
+  ~open_call() { --state_.open_calls; }
+
+ private:
+  traffic_state& state_;
+};
+
 bool is_malformed(const error_code& error) {
   return error.category() == http::make_error_code(http::error::bad_method).category() &&
          error != http::error::end_of_stream && error != http::error::partial_message;
@@ -322,7 +336,7 @@
   if (!complete) {
     co_return next_step::close;
   }
-  ++state_.open_calls;
+  const open_call counted(state_);
   watch_for_disconnect(served);
   call_result result = co_await run_call(state_, stream_.get_executor(), served);
   cancel_disconnect_watch();
@@ -334,7 +348,6 @@
   if (!served->caller_left && (result.local || result.upstream_response)) {
     written = co_await send_response(result, *served, close_after);
   }
-  --state_.open_calls;
   co_return written && !close_after ? next_step::keep : next_step::close;
 }
 
--- a/src/catkintack/serving/frontend_server.cpp
+++ b/src/catkintack/serving/frontend_server.cpp
@@ -1,13 +1,12 @@
 #include "catkintack/serving/frontend_server.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <utility>
 
 #include "catkintack/serving/http_message.hpp"
 #include "catkintack/serving/status.hpp"
+#include "catkintack/serving/task.hpp"
 
 namespace catkintack::serving {
 namespace {
@@ -21,6 +20,11 @@
   co_await timer.async_wait(no_throw);
 }
 
+/// @brief Keeps the session alive while it runs.
+asio::awaitable<void> run_session(std::shared_ptr<caller_session> session) {
+  co_await session->run();
+}
+
 }  // namespace
 
 frontend_server::frontend_server(asio::io_context& io, traffic_state& state)
@@ -35,13 +39,15 @@
     return error;
   }
   const auto check = [this](asio::ip::tcp::socket socket) {
-    asio::co_spawn(io_, serve_health_checks(beast::tcp_stream(std::move(socket))), asio::detached);
+    spawn_task(io_.get_executor(), state_.log, "health_check",
+               serve_health_checks(beast::tcp_stream(std::move(socket))));
   };
   if (const error_code error =
           health_check_listener_.listen(state_.options.readiness, check, on_error)) {
     return error;
   }
-  asio::co_spawn(io_, run_maintenance(), asio::detached);
+  spawn_service(io_.get_executor(), state_.log, "maintenance",
+                [this] { return run_maintenance(); });
   return {};
 }
 
@@ -50,8 +56,7 @@
   socket.set_option(asio::ip::tcp::no_delay(true), ignored);
   auto session = std::make_shared<caller_session>(state_, beast::tcp_stream(std::move(socket)));
   sessions_.push_back(session);
-  asio::co_spawn(
-      io_, [session]() -> asio::awaitable<void> { co_await session->run(); }, asio::detached);
+  spawn_task(io_.get_executor(), state_.log, "caller_session", run_session(session));
 }
 
 asio::awaitable<void> frontend_server::serve_health_checks(beast::tcp_stream stream) {
@@ -117,7 +122,7 @@
   }
   state_.stop = stop_stage::draining;
   state_.log.write("stop_begun", {{"open_calls", state_.open_calls}});
-  asio::co_spawn(io_, drain(std::move(stopped)), asio::detached);
+  spawn_task(io_.get_executor(), state_.log, "drain", drain(std::move(stopped)));
 }
 
 asio::awaitable<void> frontend_server::drain(std::function<void(std::size_t)> stopped) {
--- a/src/catkintack/serving/probe_round.cpp
+++ b/src/catkintack/serving/probe_round.cpp
@@ -1,13 +1,12 @@
 #include "catkintack/serving/probe_round.hpp"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 #include <utility>
 
 #include "catkintack/serving/http_message.hpp"
 #include "catkintack/serving/status.hpp"
+#include "catkintack/serving/task.hpp"
 #include "catkintack/serving/upstream_notice.hpp"
 
 namespace catkintack::serving {
@@ -29,6 +28,13 @@
   });
 }
 
+asio::awaitable<void> probe_round::run_probe(std::shared_ptr<probe_round> self,
+                                             std::size_t index,
+                                             std::string health_path) {
+  const pending_probe counted(*self);
+  co_await self->probe(index, std::move(health_path));
+}
+
 asio::awaitable<void> probe_round::run(std::vector<choice::candidate> planned,
                                        std::string health_path) {
   const base::instant began = state_.clock();
@@ -44,12 +50,7 @@
   candidates_.insert(candidates_.end(), planned.begin(), planned.end());
   pending_ += planned.size();
   for (std::size_t i = first; i < candidates_.size(); ++i) {
-    asio::co_spawn(
-        executor_,
-        [self = shared_from_this(), i, path = health_path]() -> asio::awaitable<void> {
-          co_await self->probe(i, path);
-        },
-        asio::detached);
+    spawn_task(executor_, state_.log, "probe", run_probe(shared_from_this(), i, health_path));
   }
   const auto any_answer = [&] {
     return std::any_of(candidates_.begin() + static_cast<std::ptrdiff_t>(first), candidates_.end(),
@@ -107,7 +108,11 @@
                                               const std::string& health_path,
                                               base::duration limit,
                                               choice::candidate& target) {
-  const auto remote = connection.stream.socket().remote_endpoint();
+  error_code gone;
+  const auto remote = connection.stream.socket().remote_endpoint(gone);
+  if (gone) {
+    co_return false;
+  }
   const std::string text = std::move(head_writer::request("GET", health_path)
                                          .add("Host", remote.address().to_string() + ":" +
                                                           std::to_string(remote.port())))
@@ -175,7 +180,6 @@
     state_.outlier_detector.on_failure(target.id, now);
     target.outlier = true;
   }
-  --pending_;
   if (finished_) {
     if (answered) {
       state_.pool.release(std::move(connection), now);
@@ -187,7 +191,6 @@
   if (answered && connection->stream.socket().is_open()) {
     connections_[target.id] = std::move(connection);
   }
-  changed_.cancel();
 }
 
 std::unique_ptr<upstream_connection> probe_round::take_connection(const base::upstream_id& id) {
