--- a/src/catkintack/serving/upstream_limit_test.cpp
+++ b/src/catkintack/serving/upstream_limit_test.cpp
@@ -20,6 +20,14 @@
   return {.bytes = bytes};
 }
 
+/// @brief Gives a host with one authority a permit that can be used at once.
+void grant_one_send(traffic_state& state, const base::upstream_id& id) {
+  const base::instant now = state.clock();
+  const auto authority = state.permits.ask(id, base::request_rate(2), now);
+  EXPECT_EQ(authority, 0U);
+  state.permits.on_granted(id, 0, now, base::duration(0));
+}
+
 /// @brief Hosts that share one upstream. Their clocks stand still, so that all calls fall into any
 /// window, however short.
 class limited_fleet {
@@ -118,11 +126,7 @@
   scripted_caller caller(world);
   caller.get("one");
   ASSERT_TRUE(caller.wait_for("Request-Id: one"));
-  const base::upstream_id id(limited.id);
-  const base::instant now = world.state.clock();
-  const auto authority = world.state.permits.ask(id, base::request_rate(2), now);
-  ASSERT_TRUE(authority);
-  world.state.permits.on_granted(id, *authority, now, base::duration(0));
+  grant_one_send(world.state, base::upstream_id(limited.id));
   caller.get("two");
   ASSERT_TRUE(caller.wait_for("Request-Id: two"));
   caller.get("three");
@@ -158,10 +162,7 @@
   ASSERT_TRUE(caller.wait_for("Request-Id: one"));
   in_need = false;
   now += std::chrono::seconds(2);
-  const base::upstream_id id(upstream.id);
-  const auto authority = world.state.permits.ask(id, base::request_rate(2), now);
-  ASSERT_TRUE(authority);
-  world.state.permits.on_granted(id, *authority, now, base::duration(0));
+  grant_one_send(world.state, base::upstream_id(upstream.id));
   for (const std::string call : {"two", "three", "four"}) {
     caller.get(call);
     ASSERT_TRUE(caller.wait_for("Request-Id: " + call));
