Let the state of hosts age while the store is silent to their seeds

Cause: a watch without an answer looks like a store without changes. A host with an open watch reported an age of 0, for up to 4.5 s, and hosts below believed it. Class: silence taken for consent.

--- a/include/catkintack/control/feed_client.hpp
+++ b/include/catkintack/control/feed_client.hpp
@@ -55,6 +55,10 @@
   /// @brief Whether a publisher keeps this host up to date, so that it does not need the registry.
   bool up_to_date() const;
 
+  /// @brief Returns how long this host stays up to date without a further message; not positive if
+  /// it is not up to date.
+  base::duration up_to_date_for() const;
+
   /// @brief Requests large tables from the publishers too, as the registry is unreachable. While a
   /// table is missing, closes the connections, so that each publisher is asked again.
   void request_large_tables();
--- a/include/catkintack/control/host_settings.hpp
+++ b/include/catkintack/control/host_settings.hpp
@@ -29,7 +29,9 @@
   /// UDP address for the exchange of permits; the same port is used on all hosts. That of `peers`
   /// if not set.
   base::address permits;
-  base::address registry;            ///< Address of the registry of routes and upstreams.
+  base::address registry;  ///< Address of the registry of routes and upstreams.
+  /// Time from the registry's acceptance of an edit until it is in force on every host.
+  base::duration edits_due = std::chrono::seconds(2);
   std::vector<base::address> seeds;  ///< Hosts to synchronize from; these watch the registry.
   double repeat_ratio = 0.2;         ///< Retries per request, over all hosts.
   /// Retries that all hosts together may send in one window beyond the ratio.
--- a/include/catkintack/control/registry_replica.hpp
+++ b/include/catkintack/control/registry_replica.hpp
@@ -63,7 +63,11 @@
   void set_publisher_hops(std::uint32_t hops) { hops_ = hops; }
   /// @brief Returns that number; 0 while this host is a seed that watches the registry.
   std::uint32_t hops() const { return watching_ && options_.is_seed ? 0 : hops_; }
-  /// @brief Returns the time since the registry confirmed the state of this replica.
+  /// @brief Whether this host has a pending watch at the registry.
+  bool watching() const { return watching_; }
+  /// @brief Returns the time since the registry confirmed the state of this replica, or since the
+  /// watch began. A pending watch alone confirms nothing: a registry that fell silent looks like
+  /// one without changes.
   base::duration age() const;
 
   /// @brief Whether any state of the registry has been applied.
@@ -96,6 +100,7 @@
   std::uint32_t hops_ = 0;
   bool registry_reachable_ = true;
   bool watching_ = false;
+  base::instant watching_since_ = base::instant::min();
   base::instant confirmed_at_ = base::instant::min();
   /// Last recovery of the registry after an outage.
   base::instant recovered_at_ = base::instant::min();
--- a/src/catkintack/control/feed_client.cpp
+++ b/src/catkintack/control/feed_client.cpp
@@ -37,14 +37,18 @@
   }
 }
 
-bool feed_client::up_to_date() const {
-  const base::instant now = state_.clock();
-  return std::ranges::any_of(slots_, [&](const auto& slot) {
-    return slot->confirmed_at != base::instant::min() &&
-           now - slot->confirmed_at <= options_.max_age;
-  });
+base::duration feed_client::up_to_date_for() const {
+  base::instant end = base::instant::min();
+  for (const auto& slot : slots_) {
+    if (slot->confirmed_at != base::instant::min()) {
+      end = std::max(end, slot->confirmed_at + options_.max_age);
+    }
+  }
+  return end == base::instant::min() ? base::duration(-1) : end - state_.clock();
 }
 
+bool feed_client::up_to_date() const { return up_to_date_for() >= base::duration::zero(); }
+
 void feed_client::update_status() {
   std::uint32_t hops = options_.max_hops;
   for (const auto& slot : slots_) {
--- a/src/catkintack/control/feed_server.cpp
+++ b/src/catkintack/control/feed_server.cpp
@@ -179,9 +179,8 @@
       // A relay forwards each message of its publisher as it arrives. A heartbeat of its own in
       // between would only repeat the time at which the registry last confirmed the state, which is
       // known.
-      const bool is_relay = replica_.age() > base::duration::zero();
-      host.timer.expires_after(is_relay ? options_.heartbeat_interval * 3 / 2
-                                        : options_.heartbeat_interval);
+      host.timer.expires_after(replica_.watching() ? options_.heartbeat_interval
+                                                   : options_.heartbeat_interval * 3 / 2);
       co_await host.timer.async_wait(no_throw);
     }
   }
--- a/src/catkintack/control/read_host_settings.cpp
+++ b/src/catkintack/control/read_host_settings.cpp
@@ -148,6 +148,7 @@
       {"listen.peers", true, address_value(&host_settings::peers)},
       {"listen.permits", false, address_value(&host_settings::permits)},
       {"registry.address", true, address_value(&host_settings::registry)},
+      {"registry.edits_due", false, duration_value(&host_settings::edits_due)},
       {"peers.seeds", false, address_list_value()},
       {"repeats.ratio", false, number_value(&host_settings::repeat_ratio)},
       {"repeats.slack", false, number_value(&host_settings::repeat_slack)},
--- a/src/catkintack/control/registry_replica.cpp
+++ b/src/catkintack/control/registry_replica.cpp
@@ -173,6 +173,7 @@
     return;
   }
   watching_ = watching;
+  watching_since_ = watching ? state_.clock() : base::instant::min();
   if (!watching) {
     notify_change();
   }
@@ -181,10 +182,8 @@
 base::duration registry_replica::age() const {
   // State that was never confirmed counts as very old.
   constexpr base::duration unconfirmed = std::chrono::hours(24);
-  if (watching_) {
-    return base::duration::zero();
-  }
-  return confirmed_at_ == base::instant::min() ? unconfirmed : state_.clock() - confirmed_at_;
+  const base::instant last = std::max(confirmed_at_, watching_since_);
+  return last == base::instant::min() ? unconfirmed : state_.clock() - last;
 }
 
 registry_snapshot registry_replica::snapshot() const {
