--- a/include/catkintack/choice/placement.hpp
+++ b/include/catkintack/choice/placement.hpp
@@ -61,8 +61,9 @@
                      const placement_options& options,
                      const base::random_hook& random);
 
-/// @brief Decides about a call while all upstreams that could be asked requested a pause.
-/// @param resumed_in Time until the first of them accepts requests again.
+/// @brief Decides about a call while all upstreams that could be asked requested a pause or are at
+/// their limits.
+/// @param resumed_in Time until the first of them may accept requests again.
 /// @param random Source of jitter for Retry-After.
 placement place_paused_call(base::duration resumed_in,
                             const call_requirements& call,
--- a/src/catkintack/serving/upstream_selection.cpp
+++ b/src/catkintack/serving/upstream_selection.cpp
@@ -58,6 +58,7 @@
     return;
   }
   const base::instant now = state.clock();
+  // A seed may learn of a change while it answers its own request, so the list is made first.
   std::vector<base::upstream_id> limited;
   for (const auto* const endpoint : state.upstreams.available(service, now)) {
     const routing::upstream_record& record = endpoint->listed.record;
