--- a/include/catkintack/base/ids.hpp
+++ b/include/catkintack/base/ids.hpp
@@ -15,6 +15,8 @@
 using customer_id = strong_id<struct customer_tag>;              ///< Owner of an API key.
 using plan_id = strong_id<struct plan_tag>;  ///< Set of allowances; each customer has one plan.
 using request_id = strong_id<struct request_tag>;  ///< A caller's request, including its repeats.
+/// Digest of what a request asks for, the same in each attempt of its caller.
+using request_fingerprint = strong_id<struct request_fingerprint_tag>;
 
 using incarnation = strong_number<struct incarnation_tag>;    ///< One run of a host's daemon.
 using list_version = strong_number<struct list_version_tag>;  ///< A version of an operators' list.
--- a/include/catkintack/serving/call.hpp
+++ b/include/catkintack/serving/call.hpp
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 
+#include "catkintack/base/ids.hpp"
 #include "catkintack/base/units.hpp"
 #include "catkintack/routes/route_table.hpp"
 #include "catkintack/serving/io.hpp"
@@ -20,6 +21,7 @@
   using body_reader = std::function<asio::awaitable<std::pair<std::string, error_code>>()>;
 
   std::string id;  ///< Request id chosen by the caller; empty if none was sent.
+  base::request_fingerprint fingerprint;  ///< Set once the body, or its first part, was read.
   std::string method;
   std::string target;
   http::fields headers;
--- a/src/catkintack/serving/call_runner.cpp
+++ b/src/catkintack/serving/call_runner.cpp
@@ -76,6 +76,7 @@
     return;
   }
   state.log.write("attempt_failed", {{"request", served.id},
+                                     {"fingerprint", served.fingerprint.value()},
                                      {"upstream", selection.upstream.value()},
                                      {"outcome", std::string(to_text(attempt.outcome))},
                                      {"why", attempt.detail},
--- a/src/catkintack/serving/caller_session.cpp
+++ b/src/catkintack/serving/caller_session.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "catkintack/serving/call_runner.hpp"
+#include "catkintack/serving/request_fingerprint.hpp"
 #include "catkintack/serving/status.hpp"
 
 namespace catkintack::serving {
@@ -244,6 +245,7 @@
                      std::string(by) + "\",status=\"" + std::to_string(status) + "\"}");
   state_.metrics.observe("call_seconds", elapsed);
   state_.log.write("call_ended", {{"request", served.id},
+                                  {"fingerprint", served.fingerprint.value()},
                                   {"route", served.route->name.value()},
                                   {"routes_version", served.table->version().value()},
                                   {"status", status},
@@ -336,6 +338,7 @@
   if (!complete) {
     co_return next_step::close;
   }
+  served->fingerprint = fingerprint_of(*served);
   const open_call counted(state_);
   watch_for_disconnect(served);
   call_result result = co_await run_call(state_, stream_.get_executor(), served);
