--- a/tests/serving_fixture.hpp
+++ b/tests/serving_fixture.hpp
@@ -29,6 +29,7 @@
   std::string bytes{};       ///< Written to the connection unchanged.
   bool close_after = false;  ///< Closes the connection after writing them.
   bool withhold = false;     ///< Never responds; keeps the connection until the gateway closes it.
+  bool crash = false;        ///< Ends the upstream: all its connections, and it refuses new ones.
 };
 
 /// @brief Builds a complete, valid upstream response.
@@ -56,6 +57,7 @@
   int probes = 0;
   int connections = 0;
   int closed_by_gateway = 0;  ///< Connections closed while a response was withheld.
+  bool crashed = false;
 
  private:
   asio::awaitable<void> accept_all(asio::io_context& io) {
@@ -65,7 +67,20 @@
         co_return;
       }
       ++connections;
-      asio::co_spawn(io, serve(beast::tcp_stream(std::move(socket))), asio::detached);
+      const auto stream = std::make_shared<beast::tcp_stream>(std::move(socket));
+      streams_.push_back(stream);
+      asio::co_spawn(io, serve(stream), asio::detached);
+    }
+  }
+
+  void end() {
+    crashed = true;
+    serving::error_code ignored;  // The connection may have been closed before.
+    acceptor_.close(ignored);
+    for (const auto& stream : streams_) {
+      if (const auto open = stream.lock()) {
+        open->socket().close(ignored);
+      }
     }
   }
 
@@ -79,23 +94,27 @@
     return answer_(request);
   }
 
-  asio::awaitable<void> serve(beast::tcp_stream stream) {
+  asio::awaitable<void> serve(std::shared_ptr<beast::tcp_stream> stream) {
     beast::flat_buffer buffer;
     for (;;) {
       received_request request;
       auto [read_error, count] =
-          co_await http::async_read(stream, buffer, request, serving::no_throw);
+          co_await http::async_read(*stream, buffer, request, serving::no_throw);
       if (read_error) {
         co_return;
       }
       const scripted_reply reply = respond_to(request);
+      if (reply.crash) {
+        end();
+        co_return;
+      }
       if (reply.withhold) {
         char byte = 0;
-        co_await stream.async_read_some(asio::buffer(&byte, 1), serving::no_throw);
+        co_await stream->async_read_some(asio::buffer(&byte, 1), serving::no_throw);
         ++closed_by_gateway;
         co_return;
       }
-      co_await asio::async_write(stream, asio::buffer(reply.bytes), serving::no_throw);
+      co_await asio::async_write(*stream, asio::buffer(reply.bytes), serving::no_throw);
       if (reply.close_after) {
         co_return;
       }
@@ -104,6 +123,7 @@
 
   script answer_;
   asio::ip::tcp::acceptor acceptor_;
+  std::vector<std::weak_ptr<beast::tcp_stream>> streams_;
 };
 
 /// @brief A gateway host with its serving layer and scripted upstreams.
