--- a/tests/serving_fixture.hpp
+++ b/tests/serving_fixture.hpp
@@ -240,6 +240,16 @@
     socket_.connect({asio::ip::make_address("127.0.0.1"), world.state.options.callers.port});
     asio::co_spawn(world.io, collect(), asio::detached);
   }
+  scripted_caller(const scripted_caller&) = delete;
+  scripted_caller& operator=(const scripted_caller&) = delete;
+  scripted_caller(scripted_caller&&) = delete;
+  scripted_caller& operator=(scripted_caller&&) = delete;
+  /// Waits for collect(), which refers to this object.
+  ~scripted_caller() {
+    serving::error_code ignored;  // The connection may have been closed before.
+    socket_.close(ignored);
+    world_.run_until([&] { return closed; });
+  }
 
   /// @brief Sends bytes unchanged.
   void send(const std::string& bytes) { asio::write(socket_, asio::buffer(bytes)); }
