--- a/include/catkintack/control/change_batch.hpp
+++ b/include/catkintack/control/change_batch.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "catkintack/base/ids.hpp"
+#include "catkintack/choice/crash_record.hpp"
 #include "catkintack/control/registry_revision.hpp"
 #include "catkintack/directory/endpoint.hpp"
 #include "catkintack/routes/route_table.hpp"
@@ -25,17 +26,20 @@
   std::uint64_t announced_table_version = 0;
   std::vector<directory::endpoint> changed{};
   std::vector<base::upstream_id> removed{};
+  std::vector<choice::crash_record> crashes{};                ///< Changed entries.
+  std::vector<base::request_fingerprint> cleared_requests{};  ///< Their entries were removed.
 
-  /// @brief Whether the batch holds no change to routes or upstreams.
+  /// @brief Whether the batch holds no change.
   bool empty() const {
     return !table && !table_delta && announced_table_version == 0 && changed.empty() &&
-           removed.empty();
+           removed.empty() && crashes.empty() && cleared_requests.empty();
   }
 
   /// @brief Serializes with cereal.
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(base_revision, revision, table, table_delta, announced_table_version, changed, removed);
+    archive(base_revision, revision, table, table_delta, announced_table_version, changed, removed,
+            crashes, cleared_requests);
   }
 };
 
--- a/include/catkintack/control/registry_replica.hpp
+++ b/include/catkintack/control/registry_replica.hpp
@@ -86,6 +86,7 @@
   /// @brief Applies the routes of a batch, and replaces a table by its difference to the one before
   /// where that is small.
   void apply_routes(change_batch& batch, std::string_view source);
+  void apply_crashes(const change_batch& batch);
   void put(const directory::endpoint& upstream, std::string_view source);
   void remove(const base::upstream_id& id, std::string_view source);
   void on_registry_restored(const registry_revision& restored, std::string_view source);
--- a/include/catkintack/control/registry_snapshot.hpp
+++ b/include/catkintack/control/registry_snapshot.hpp
@@ -7,24 +7,26 @@
 #include <string>
 #include <vector>
 
+#include "catkintack/choice/crash_record.hpp"
 #include "catkintack/control/registry_revision.hpp"
 #include "catkintack/directory/endpoint.hpp"
 #include "catkintack/routes/route_table.hpp"
 
 namespace catkintack::control {
 
-/// @brief Routes and upstreams at one revision.
+/// @brief Routes, upstreams and crash records at one revision.
 struct registry_snapshot {
   registry_revision revision{};  ///< The registry revision of the snapshot.
   std::optional<routes::route_table> table{};
   /// Version of a table that is too large to send and must be read from the registry. 0: none.
   std::uint64_t announced_table_version = 0;
   std::vector<directory::endpoint> upstreams{};
+  std::vector<choice::crash_record> crashes{};
 
   /// @brief Serializes with cereal.
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(revision, table, announced_table_version, upstreams);
+    archive(revision, table, announced_table_version, upstreams, crashes);
   }
 };
 
--- a/include/catkintack/serving/caller_session.hpp
+++ b/include/catkintack/serving/caller_session.hpp
@@ -31,7 +31,7 @@
   asio::awaitable<bool> read_request_body(request_parser& parser, call& admitted);
   asio::awaitable<next_step> serve(request_parser& parser);
   asio::awaitable<bool> send_response(call_result& result, const call& served, bool close_after);
-  asio::awaitable<bool> relay_remaining_body(exchange_result& upstream);
+  asio::awaitable<bool> relay_remaining_body(exchange_result& upstream, const call& served);
   asio::awaitable<bool> write(std::string text);
   asio::awaitable<void> refuse(local_response response);
   void watch_for_disconnect(const std::shared_ptr<call>& served);
--- a/include/catkintack/serving/exchange.hpp
+++ b/include/catkintack/serving/exchange.hpp
@@ -32,9 +32,10 @@
   unsigned status = 0;
   std::string reason;
   http::fields headers;
-  std::string body;                                 ///< The complete body, or its first part.
-  upstream_notice notice;                           ///< What the upstream says about itself.
-  std::uint64_t sent_bytes = 0;                     ///< Size of the request as sent, head and body.
+  std::string body;              ///< The complete body, or its first part.
+  upstream_notice notice;        ///< What the upstream says about itself.
+  bool connection_lost = false;  ///< The upstream or the network ended the connection.
+  std::uint64_t sent_bytes = 0;  ///< Size of the request as sent, head and body.
   std::unique_ptr<upstream_connection> connection;  ///< Reusable, or source of the remaining body.
   std::unique_ptr<response_parser> body_parser;     ///< Set while the body is incomplete.
 };
--- a/include/catkintack/serving/serving_options.hpp
+++ b/include/catkintack/serving/serving_options.hpp
@@ -29,6 +29,9 @@
   choice::permit_options permits;
   limits::resend_budget_options repeats;
 
+  /// Retry-After of a quarantined request.
+  base::duration quarantine_time = std::chrono::hours(24);
+
   /// More probes gave no improvement with four upstreams per region.
   std::size_t probes_per_call = 4;
   /// Number of upstreams of a service, in this host's failure domain, that are probed first. With
--- a/include/catkintack/serving/status.hpp
+++ b/include/catkintack/serving/status.hpp
@@ -12,6 +12,7 @@
 inline constexpr unsigned not_found = 404;
 inline constexpr unsigned request_timeout = 408;
 inline constexpr unsigned gone = 410;
+inline constexpr unsigned precondition_failed = 412;
 inline constexpr unsigned content_too_large = 413;
 inline constexpr unsigned misdirected = 421;
 inline constexpr unsigned too_many_requests = 429;
--- a/include/catkintack/serving/traffic_state.hpp
+++ b/include/catkintack/serving/traffic_state.hpp
@@ -6,10 +6,12 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "catkintack/base/hooks.hpp"
 #include "catkintack/base/metric_registry.hpp"
+#include "catkintack/choice/crash_ledger.hpp"
 #include "catkintack/choice/outlier_detector.hpp"
 #include "catkintack/choice/route_statistics.hpp"
 #include "catkintack/choice/send_permits.hpp"
@@ -55,6 +57,12 @@
   std::function<void(const base::upstream_id&)> request_permit;
   /// Called when the limit of an upstream began, ended or changed; may be unset.
   std::function<void(const base::upstream_id&, limit_observer)> on_limit_changed;
+  choice::crash_ledger crashes;  ///< Requests that were lost in crashes of upstreams.
+  /// Called when a crash was recorded or received; may be unset.
+  std::function<void()> on_crashes_changed;
+  /// Called when an upstream answered a request that was suspect; may be unset.
+  std::function<void(const choice::crash_record&)> on_request_cleared;
+  base::instant last_upstream_response = base::instant::min();  ///< To a call or a probe.
   limits::resend_budget repeats;
   limits::byte_budget remote_bytes;  ///< Budget for traffic between regions.
   in_flight_sends in_flight;
@@ -77,8 +85,13 @@
   bool take_permit(const base::upstream_id& id) {
     return !upstream_limits.limit_of(id) || permits.take(id, clock());
   }
+  /// @brief Logs requests whose quarantine began or ended, and calls on_crashes_changed.
+  void notify_crashes_changed();
   /// @brief Whether the readiness check should direct new callers to this host.
   bool ready() const { return stop == stop_stage::running && table && upstreams.size() > 0; }
+
+ private:
+  std::set<base::request_fingerprint> logged_quarantine_;
 };
 
 }  // namespace catkintack::serving
--- a/src/catkintack/control/registry_replica.cpp
+++ b/src/catkintack/control/registry_replica.cpp
@@ -85,6 +85,19 @@
   }
 }
 
+void registry_replica::apply_crashes(const change_batch& batch) {
+  if (batch.crashes.empty() && batch.cleared_requests.empty()) {
+    return;
+  }
+  for (const choice::crash_record& entry : batch.crashes) {
+    state_.crashes.put(entry);
+  }
+  for (const base::request_fingerprint& request : batch.cleared_requests) {
+    state_.crashes.remove(request);
+  }
+  state_.notify_crashes_changed();
+}
+
 bool registry_replica::apply(const change_batch& batch, std::string_view source) {
   const bool spans_restore = batch.base_revision.era != batch.revision.era;
   if (spans_restore || batch.base_revision > revision_) {
@@ -104,6 +117,7 @@
   for (const base::upstream_id& id : batch.removed) {
     remove(id, source);
   }
+  apply_crashes(batch);
   revision_ = batch.revision;
   changes_.append(std::move(relayed));
   if (!batch.empty()) {
@@ -127,6 +141,9 @@
   }
   state_.upstreams.replace_all(snapshot.upstreams, state_.clock(), removal_deadline(),
                                restored ? listing_kind::restored : listing_kind::current);
+  // Crash records that a restored registry has lost are reported again.
+  state_.crashes.replace_all(snapshot.crashes, restored);
+  state_.notify_crashes_changed();
   state_.log.write("upstreams_listed", {{"count", snapshot.upstreams.size()},
                                         {"era", snapshot.revision.era.value()},
                                         {"revision", snapshot.revision.number},
@@ -194,6 +211,7 @@
     result.table = *state_.table;
   }
   result.upstreams = state_.upstreams.entries();
+  result.crashes = state_.crashes.entries();
   return result;
 }
 
--- a/src/catkintack/serving/call_runner.cpp
+++ b/src/catkintack/serving/call_runner.cpp
@@ -6,7 +6,9 @@
 #include <set>
 #include <utility>
 
+#include "catkintack/serving/crash_check.hpp"
 #include "catkintack/serving/status.hpp"
+#include "catkintack/serving/task.hpp"
 #include "catkintack/serving/upstream_selection.hpp"
 
 namespace catkintack::serving {
@@ -46,6 +48,24 @@
           .request_id = served.id};
 }
 
+/// @brief The final result of a request that crashed several upstreams.
+call_result refuse_quarantined(const traffic_state& state,
+                               const call& served,
+                               const call_progress& progress,
+                               call_diagnostics diagnostics) {
+  diagnostics.quarantined = true;
+  call_result result;
+  result.diagnostics = diagnostics;
+  result.local =
+      progress.may_have_run
+          ? make_local_response(state, served, status::bad_gateway,
+                                "no whole answer: the upstreams that ran this request crashed\n")
+          : make_local_response(state, served, status::unavailable,
+                                "not run: this request crashed several upstreams\n",
+                                state.options.quarantine_time);
+  return result;
+}
+
 /// @brief The final result when no further attempt is made.
 call_result give_up(const traffic_state& state,
                     const call& served,
@@ -94,6 +114,7 @@
     case exchange_outcome::answered:
       state.outlier_detector.on_success(selection.upstream);
       if (!attempt.body_parser) {
+        on_request_answered(state, served.fingerprint);
         state.route_statistics.on_response(served.route->name.value(), elapsed, selection.reading,
                                            attempt.sent_bytes + attempt.body.size());
       }
@@ -101,6 +122,9 @@
     case exchange_outcome::caller_left:
       return;
     case exchange_outcome::failed:
+      on_request_answered(state, served.fingerprint);
+      state.outlier_detector.on_failure(selection.upstream, state.clock());
+      return;
     case exchange_outcome::not_run:
     case exchange_outcome::may_have_run:
     case exchange_outcome::timed_out:
@@ -173,6 +197,20 @@
   asio::steady_timer timer_;
 };
 
+/// @brief Finds out whether the upstream of an attempt crashed, at once for a request that is
+/// suspect already: it might be sent to the next upstream.
+asio::awaitable<void> examine_loss(traffic_state& state,
+                                   const asio::any_io_executor& executor,
+                                   const call& served,
+                                   const base::upstream_id& upstream) {
+  const lost_call lost = describe_lost_call(state, served, upstream);
+  if (state.crashes.is_suspect(served.fingerprint)) {
+    co_await check_for_crash(state, executor, lost);
+  } else {
+    spawn_task(executor, state.log, "crash_check", check_for_crash(state, executor, lost));
+  }
+}
+
 asio::awaitable<exchange_result> send_attempt(traffic_state& state,
                                               call& served,
                                               upstream_selection& selection) {
@@ -183,6 +221,9 @@
       co_await exchange(std::move(selection.connection), served, state.options.protocol,
                         served.deadline - started_at, max_buffered_response);
   state.in_flight.end(selection.upstream, started_at);
+  if (attempt.status != 0) {
+    state.last_upstream_response = state.clock();
+  }
   const base::duration elapsed = state.clock() - started_at;
   state.metrics.add("attempts_total{outcome=\"" + std::string(to_text(attempt.outcome)) + "\"}");
   apply_notice(state, selection.upstream, attempt.notice, notice_source::call);
@@ -194,6 +235,30 @@
   co_return attempt;
 }
 
+/// @brief Whether the call is over, however its caller fares.
+bool ends_call(const exchange_result& attempt, const call& served) {
+  return served.caller_left || attempt.outcome == exchange_outcome::caller_left ||
+         attempt.outcome == exchange_outcome::answered ||
+         attempt.outcome == exchange_outcome::timed_out;
+}
+
+/// @brief The result of a call that its last attempt ended.
+call_result finish(const traffic_state& state,
+                   const call& served,
+                   exchange_result attempt,
+                   call_result result) {
+  if (served.caller_left || attempt.outcome == exchange_outcome::caller_left) {
+    return result;
+  }
+  if (attempt.outcome == exchange_outcome::timed_out) {
+    result.local = make_local_response(state, served, status::gateway_timeout,
+                                       "no answer within the time allowed\n");
+  } else {
+    result.upstream_response = std::move(attempt);
+  }
+  return result;
+}
+
 }  // namespace
 
 asio::awaitable<call_result> run_call(traffic_state& state,
@@ -205,6 +270,9 @@
   call_diagnostics diagnostics;
   base::duration retry_after = state.options.placement.min_retry_after;
   for (;;) {
+    if (state.crashes.is_quarantined(served->fingerprint)) {
+      co_return refuse_quarantined(state, *served, progress, diagnostics);
+    }
     upstream_selection selection =
         co_await select_upstream(state, executor, *served, service, progress.tried);
     diagnostics.rounds = selection.rounds;
@@ -217,6 +285,11 @@
       }
       co_return give_up(state, *served, progress, retry_after, diagnostics);
     }
+    if (state.crashes.is_quarantined(served->fingerprint)) {
+      // The verdict came while the call was held.
+      state.pool.release(std::move(selection.connection), state.clock());
+      co_return refuse_quarantined(state, *served, progress, diagnostics);
+    }
     progress.tried.insert(selection.upstream);
     diagnostics.attempts = ++progress.attempts;
     diagnostics.limit = state.upstream_limits.limit_of(selection.upstream);
@@ -230,17 +303,11 @@
     watchdog.emplace(state, executor, served, progress, service, diagnostics.expected);
     exchange_result attempt = co_await send_attempt(state, *served, selection);
     watchdog.reset();
-    if (attempt.outcome == exchange_outcome::caller_left || served->caller_left) {
-      co_return result;
+    if (ends_call(attempt, *served)) {
+      co_return finish(state, *served, std::move(attempt), std::move(result));
     }
-    if (attempt.outcome == exchange_outcome::answered) {
-      result.upstream_response = std::move(attempt);
-      co_return result;
-    }
-    if (attempt.outcome == exchange_outcome::timed_out) {
-      result.local = make_local_response(state, *served, status::gateway_timeout,
-                                         "no answer within the time allowed\n");
-      co_return result;
+    if (attempt.connection_lost) {
+      co_await examine_loss(state, executor, *served, result.upstream);
     }
     progress.may_have_run = progress.may_have_run || attempt.outcome != exchange_outcome::not_run;
     if (!attempt.body_parser && may_retry(state, *served, progress, attempt, service)) {
--- a/src/catkintack/serving/caller_session.cpp
+++ b/src/catkintack/serving/caller_session.cpp
@@ -9,8 +9,10 @@
 #include <utility>
 
 #include "catkintack/serving/call_runner.hpp"
+#include "catkintack/serving/crash_check.hpp"
 #include "catkintack/serving/request_fingerprint.hpp"
 #include "catkintack/serving/status.hpp"
+#include "catkintack/serving/task.hpp"
 
 namespace catkintack::serving {
 namespace {
@@ -258,10 +260,12 @@
                                   {"took_us", elapsed.count()},
                                   {"attempts", result.diagnostics.attempts},
                                   {"rounds", result.diagnostics.rounds},
+                                  {"quarantined", result.diagnostics.quarantined ? 1 : 0},
                                   {"considered", result.diagnostics.considered}});
 }
 
-asio::awaitable<bool> caller_session::relay_remaining_body(exchange_result& upstream) {
+asio::awaitable<bool> caller_session::relay_remaining_body(exchange_result& upstream,
+                                                           const call& served) {
   constexpr std::size_t piece_size = 32U << 10U;
   upstream_connection& connection = *upstream.connection;
   const bool chunked = !upstream.body_parser->content_length();
@@ -272,6 +276,11 @@
     if (error) {
       state_.log.write("answer_cut",
                        {{"upstream", connection.upstream.value()}, {"why", error.message()}});
+      if (error != beast::error::timeout) {
+        const lost_call lost = describe_lost_call(state_, served, connection.upstream);
+        spawn_task(stream_.get_executor(), state_.log, "crash_check",
+                   check_for_crash(state_, stream_.get_executor(), lost));
+      }
       co_return false;
     }
     if (!piece.empty()) {
@@ -324,7 +333,7 @@
   text += chunked && !response.body.empty() ? encode_chunk(response.body) : response.body;
   bool complete = co_await write(std::move(text));
   if (complete && response.body_parser) {
-    complete = co_await relay_remaining_body(response);
+    complete = co_await relay_remaining_body(response, served);
   }
   co_return complete;
 }
--- a/src/catkintack/serving/exchange.cpp
+++ b/src/catkintack/serving/exchange.cpp
@@ -147,11 +147,20 @@
   return exchange_outcome::answered;
 }
 
+/// @brief Whether an error means that the other side ended the connection. This host's own timeouts
+/// and closes do not count.
+bool is_connection_loss(const error_code& error) {
+  return error == asio::error::eof || error == asio::error::connection_reset ||
+         error == asio::error::broken_pipe || error == http::error::end_of_stream ||
+         error == http::error::partial_message;
+}
+
 exchange_result failed_exchange(exchange_result result,
                                 const call& sent,
                                 const error_code& error,
                                 std::string_view stage) {
   result.detail = std::string(stage) + ": " + error.message();
+  result.connection_lost = is_connection_loss(error);
   if (sent.caller_left) {
     result.outcome = exchange_outcome::caller_left;
   } else if (error == beast::error::timeout) {
--- a/src/catkintack/serving/probe_round.cpp
+++ b/src/catkintack/serving/probe_round.cpp
@@ -175,6 +175,9 @@
     }
   }
   const base::instant now = state_.clock();
+  if (answered) {
+    state_.last_upstream_response = now;
+  }
   if (!answered && state_.accepts_requests(target.id)) {
     state_.metrics.add("probes_failed_total");
     state_.outlier_detector.on_failure(target.id, now);
--- a/src/catkintack/serving/traffic_state.cpp
+++ b/src/catkintack/serving/traffic_state.cpp
@@ -18,4 +18,24 @@
       repeats(options.repeats),
       remote_bytes(options.remote_bytes_per_second, options.remote_bytes_burst) {}
 
+void traffic_state::notify_crashes_changed() {
+  const auto& quarantined = crashes.quarantined();
+  for (const base::request_fingerprint& request : quarantined) {
+    if (!logged_quarantine_.contains(request)) {
+      metrics.add("requests_quarantined_total");
+      log.write("request_quarantined", {{"fingerprint", request.value()},
+                                        {"crashes", crashes.find(request).crashes.size()}});
+    }
+  }
+  for (const base::request_fingerprint& request : logged_quarantine_) {
+    if (!quarantined.contains(request)) {
+      log.write("quarantine_ended", {{"fingerprint", request.value()}});
+    }
+  }
+  logged_quarantine_ = quarantined;
+  if (on_crashes_changed) {
+    on_crashes_changed();
+  }
+}
+
 }  // namespace catkintack::serving
