--- a/include/catkintack/serving/frontend_server.hpp
+++ b/include/catkintack/serving/frontend_server.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 
 #include "catkintack/serving/caller_session.hpp"
+#include "catkintack/serving/isolation_check.hpp"
 #include "catkintack/serving/listener.hpp"
 #include "catkintack/serving/traffic_state.hpp"
 
@@ -41,6 +42,7 @@
   traffic_state& state_;
   listener caller_listener_;
   listener health_check_listener_;
+  isolation_check isolation_check_;
   std::list<std::weak_ptr<caller_session>> sessions_;
 };
 
--- a/include/catkintack/serving/traffic_state.hpp
+++ b/include/catkintack/serving/traffic_state.hpp
@@ -12,6 +12,7 @@
 #include "catkintack/base/hooks.hpp"
 #include "catkintack/base/metric_registry.hpp"
 #include "catkintack/choice/crash_ledger.hpp"
+#include "catkintack/choice/isolation_detector.hpp"
 #include "catkintack/choice/outlier_detector.hpp"
 #include "catkintack/choice/route_statistics.hpp"
 #include "catkintack/choice/send_permits.hpp"
@@ -62,6 +63,9 @@
   std::function<void()> on_crashes_changed;
   /// Called when an upstream answered a request that was suspect; may be unset.
   std::function<void(const choice::crash_record&)> on_request_cleared;
+  choice::isolation_detector isolation;
+  /// Called when an upstream could not be reached, or one was reached again; may be unset.
+  std::function<void()> on_reachability_changed;
   base::instant last_upstream_response = base::instant::min();  ///< To a call or a probe.
   limits::resend_budget repeats;
   limits::byte_budget remote_bytes;  ///< Budget for traffic between regions.
--- a/src/catkintack/serving/crash_check.cpp
+++ b/src/catkintack/serving/crash_check.cpp
@@ -3,7 +3,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <utility>
 
-#include "catkintack/serving/upstream_connection.hpp"
+#include "catkintack/serving/open_connection.hpp"
 
 namespace catkintack::serving {
 namespace {
@@ -19,8 +19,7 @@
                                   base::address where,
                                   base::upstream_id id,
                                   base::duration limit) {
-  state.metrics.add("upstream_connections_total");
-  auto [connection, error] = co_await connect_upstream(executor, std::move(where), id, limit);
+  auto connection = co_await open_connection(state, executor, std::move(where), id, limit);
   const bool connected = connection != nullptr;
   state.pool.release(std::move(connection), state.clock());
   co_return connected;
--- a/src/catkintack/serving/frontend_server.cpp
+++ b/src/catkintack/serving/frontend_server.cpp
@@ -28,7 +28,11 @@
 }  // namespace
 
 frontend_server::frontend_server(asio::io_context& io, traffic_state& state)
-    : io_(io), state_(state), caller_listener_(io), health_check_listener_(io) {}
+    : io_(io),
+      state_(state),
+      caller_listener_(io),
+      health_check_listener_(io),
+      isolation_check_(io.get_executor(), state) {}
 
 error_code frontend_server::listen() {
   const auto on_error = [this](const error_code& error) {
@@ -48,6 +52,9 @@
   }
   spawn_service(io_.get_executor(), state_.log, "maintenance",
                 [this] { return run_maintenance(); });
+  state_.on_reachability_changed = [this] { isolation_check_.wake(); };
+  spawn_service(io_.get_executor(), state_.log, "isolation_check",
+                [this] { return isolation_check_.run(); });
   return {};
 }
 
--- a/src/catkintack/serving/probe_round.cpp
+++ b/src/catkintack/serving/probe_round.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "catkintack/serving/http_message.hpp"
+#include "catkintack/serving/open_connection.hpp"
 #include "catkintack/serving/status.hpp"
 #include "catkintack/serving/task.hpp"
 #include "catkintack/serving/upstream_notice.hpp"
@@ -78,10 +79,7 @@
   if (endpoint == nullptr) {
     co_return nullptr;
   }
-  state_.metrics.add("upstream_connections_total");
-  auto [connection, error] =
-      co_await connect_upstream(executor_, endpoint->listed.record.where, id, limit);
-  co_return std::move(connection);
+  co_return co_await open_connection(state_, executor_, endpoint->listed.record.where, id, limit);
 }
 
 void probe_round::record_response(const response_parser& parser, choice::candidate& target) {
--- a/src/catkintack/serving/upstream_selection.cpp
+++ b/src/catkintack/serving/upstream_selection.cpp
@@ -5,6 +5,7 @@
 
 #include "catkintack/choice/probe_selection.hpp"
 #include "catkintack/choice/upstream_subset.hpp"
+#include "catkintack/serving/open_connection.hpp"
 #include "catkintack/serving/probe_round.hpp"
 
 namespace catkintack::serving {
@@ -148,9 +149,8 @@
   if (endpoint == nullptr) {
     co_return nullptr;
   }
-  state.metrics.add("upstream_connections_total");
-  auto [connection, error] = co_await connect_upstream(executor, endpoint->listed.record.where, id,
-                                                       state.options.connect_timeout);
+  auto connection = co_await open_connection(state, executor, endpoint->listed.record.where, id,
+                                             state.options.connect_timeout);
   if (!connection) {
     state.outlier_detector.on_failure(id, state.clock());
   }
