--- a/src/catkintack/serving/isolation_test.cpp
+++ b/src/catkintack/serving/isolation_test.cpp
@@ -67,5 +67,53 @@
   EXPECT_FALSE(world.state.isolation.isolated());
 }
 
+/// @brief A host without links to the upstreams and one with them, which it can reach.
+struct split_fleet {
+  split_fleet() {
+    for (serving_fixture* const host : {&cut_off, &neighbour}) {
+      host->set_route(delivery_kind::at_most_once);
+    }
+    for (const char* name : {"a", "b", "c"}) {
+      upstreams.push_back(&neighbour.add(name, greet));
+    }
+    add_unreachable(cut_off, {"a", "b", "c"});
+  }
+
+  bool run_until(const std::function<bool()>& condition) {
+    const auto give_up_at = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (!condition() && std::chrono::steady_clock::now() < give_up_at) {
+      cut_off.io.run_one_for(std::chrono::milliseconds(1));
+      neighbour.io.run_one_for(std::chrono::milliseconds(1));
+    }
+    return condition();
+  }
+  /// @brief Makes one call through the host without links.
+  std::string call_once(const std::string& id) {
+    scripted_caller caller(cut_off);
+    caller.get(id);
+    EXPECT_TRUE(
+        run_until([&] { return caller.received_bytes.find("\r\n\r\n") != std::string::npos; }));
+    return caller.received_bytes;
+  }
+
+  serving_fixture cut_off;
+  serving_fixture neighbour;
+  std::vector<tests::scripted_upstream*> upstreams;
+};
+
+// Guards against a host that has lost its links to all upstreams and refuses its callers, although
+// it can reach hosts that have not (incident 12).
+TEST(isolation, callers_of_a_cut_off_host_are_served_through_another_host) {
+  split_fleet fleet;
+  constexpr int calls = 50;
+  int served = 0;
+  for (int i = 0; i < calls; ++i) {
+    const std::string answer = fleet.call_once("call-" + std::to_string(i));
+    served += answer.starts_with("HTTP/1.1 200") ? 1 : 0;
+  }
+  // 10 and one in 50 may fail while the host notices.
+  EXPECT_GE(served, calls - (10 + calls / 50));
+}
+
 }  // namespace
 }  // namespace catkintack::serving
