Tests: listen on ports that no outgoing connection can take

serving_bytes.legal_requests_and_responses_pass_byte_for_byte failed once: the fixture could not listen. It picked a port from the kernel's range for outgoing connections and released it, so a connection of another test could take it before it was listened on. The fixture now searches below that range. Three copies of all tests of the layer at the same time pass.

--- a/tests/serving_fixture.hpp
+++ b/tests/serving_fixture.hpp
@@ -2,6 +2,8 @@
 /// Runs the serving layer with scripted upstreams and callers, over loopback on a single thread.
 #pragma once
 
+#include <unistd.h>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/detached.hpp>
@@ -126,6 +128,25 @@
   std::vector<std::weak_ptr<beast::tcp_stream>> streams_;
 };
 
+/// @brief Returns a free port below those that the kernel gives to outgoing connections: one of
+/// these could be taken by a test that runs at the same time before it is listened on.
+inline std::uint16_t free_port() {
+  constexpr std::uint16_t first = 10000;
+  constexpr std::uint16_t count = 20000;
+  constexpr int ports_per_process = 64;
+  static int next = (::getpid() * ports_per_process) % count;
+  for (;;) {
+    const auto port = static_cast<std::uint16_t>(first + next++ % count);
+    asio::io_context io;
+    asio::ip::tcp::acceptor probe(io);
+    serving::error_code error;
+    probe.open(asio::ip::tcp::v4(), error);
+    if (!error && !probe.bind({asio::ip::tcp::v4(), port}, error)) {
+      return port;
+    }
+  }
+}
+
 /// @brief A gateway host with its serving layer and scripted upstreams.
 class serving_fixture {
  public:
@@ -202,11 +223,6 @@
   std::vector<std::unique_ptr<scripted_upstream>> upstreams;
 
  private:
-  static std::uint16_t free_port() {
-    asio::io_context io;
-    return asio::ip::tcp::acceptor(io, {asio::ip::tcp::v4(), 0}).local_endpoint().port();
-  }
-
   static serving::serving_options make_options(
       const std::function<void(serving::serving_options&)>& configure) {
     serving::serving_options options;
