--- a/include/catkintack/choice/isolation_detector.hpp
+++ b/include/catkintack/choice/isolation_detector.hpp
@@ -2,11 +2,11 @@
 /// Detects that this host reaches no upstream at all.
 #pragma once
 
-#include <algorithm>
 #include <cstddef>
 #include <set>
 
 #include "catkintack/base/ids.hpp"
+#include "catkintack/base/units.hpp"
 
 namespace catkintack::choice {
 
@@ -17,29 +17,33 @@
 class isolation_detector {
  public:
   /// @brief Records that a new connection to an upstream was established.
-  void on_connected() {
-    unreachable_.clear();
-    isolated_ = false;
-  }
+  void on_connected() { unreachable_.clear(); }
   /// @brief Records that no connection to an upstream could be established.
   void on_unreachable(const base::upstream_id& id) { unreachable_.insert(id); }
-  /// @brief Records the result of a check in which no upstream could be reached.
-  void on_check_failed() { isolated_ = true; }
+  /// @brief Records the result of trying several upstreams at once. If none is reached, the host is
+  /// isolated; it stays so until at least half are, as a host that reaches few of them is of as
+  /// little use.
+  /// @param connected Number of the upstreams that were reached.
+  /// @param tried Number of the upstreams that were tried, at least 1.
+  void on_check(std::size_t connected, std::size_t tried, base::instant now);
 
   /// @brief Whether enough upstreams in a row were unreachable to check whether any is.
   /// @param known Number of upstreams that this host knows.
-  bool suspected(std::size_t known) const {
-    constexpr std::size_t enough = 3;
-    return known > 0 && unreachable_.size() >= std::min(known, enough);
-  }
-  /// @brief Whether this host reaches no upstream, as far as it knows.
+  bool suspected(std::size_t known) const;
+  /// @brief Whether this host reaches no upstream, or too few, as far as it knows.
   bool isolated() const { return isolated_; }
+  /// @brief Whether an isolated host reached an upstream in the last check.
+  bool reaches_some() const { return reaches_some_; }
+  /// @brief Time at which the isolation was found, if isolated().
+  base::instant isolated_since() const { return isolated_since_; }
   /// @brief Whether an upstream was unreachable since the last new connection.
   bool is_unreachable(const base::upstream_id& id) const { return unreachable_.contains(id); }
 
  private:
   std::set<base::upstream_id> unreachable_;
   bool isolated_ = false;
+  bool reaches_some_ = true;
+  base::instant isolated_since_;
 };
 
 }  // namespace catkintack::choice
--- a/include/catkintack/control/feed_client.hpp
+++ b/include/catkintack/control/feed_client.hpp
@@ -59,6 +59,9 @@
   /// it is not up to date.
   base::duration up_to_date_for() const;
 
+  /// @brief Returns the current publishers.
+  std::vector<base::address> publishers() const;
+
   /// @brief Requests large tables from the publishers too, as the registry is unreachable. While a
   /// table is missing, closes the connections, so that each publisher is asked again.
   void request_large_tables();
--- a/include/catkintack/control/feed_server.hpp
+++ b/include/catkintack/control/feed_server.hpp
@@ -57,6 +57,8 @@
   /// @brief Relays a confirmation by another host to the subscribers that were not sent a message
   /// within the last half heartbeat interval.
   void relay();
+  /// @brief Returns the feed addresses of the subscribers.
+  std::vector<base::address> subscribers() const;
   /// @brief Hosts that are currently subscribed.
   std::size_t subscriber_count() const { return subscribers_.size(); }
 
--- a/include/catkintack/control/host_settings.hpp
+++ b/include/catkintack/control/host_settings.hpp
@@ -29,6 +29,9 @@
   /// UDP address for the exchange of permits; the same port is used on all hosts. That of `peers`
   /// if not set.
   base::address permits;
+  /// Address for calls that other hosts relay (TCP) and for the lookup of such hosts (UDP); the
+  /// same port is used on all hosts. Not set: none are relayed.
+  base::address relays;
   base::address registry;  ///< Address of the registry of routes and upstreams.
   /// Time from the registry's acceptance of an edit until it is in force on every host.
   base::duration edits_due = std::chrono::seconds(2);
--- a/include/catkintack/serving/call.hpp
+++ b/include/catkintack/serving/call.hpp
@@ -37,6 +37,7 @@
   /// Time since the caller's first attempt, estimated from its deadline header; 0 if unknown.
   base::duration elapsed_before_arrival{};
 
+  bool relayed = false;  ///< Another host sent the call here on behalf of its caller.
   bool caller_left = false;
   bool response_started = false;  ///< The upstream of the current attempt has begun to answer.
   /// Connections on which an upstream is processing the call.
--- a/include/catkintack/serving/call_result.hpp
+++ b/include/catkintack/serving/call_result.hpp
@@ -20,6 +20,7 @@
   base::duration expected{};   ///< Completion time estimated by the last decision.
   /// Limit that the upstream of the last send had named before it.
   std::optional<base::request_rate> limit{};
+  std::string relay;         ///< Host that was to serve the call in the place of this one.
   bool quarantined = false;  ///< Not sent (again), as it crashed several upstreams.
   std::string considered;    ///< Candidates of the last decision and their load readings.
 };
--- a/include/catkintack/serving/caller_session.hpp
+++ b/include/catkintack/serving/caller_session.hpp
@@ -10,11 +10,19 @@
 
 namespace catkintack::serving {
 
+/// @brief Who is at the other end of a session.
+enum class session_peer : std::uint8_t {
+  caller,
+  host  ///< Another host that relays calls of its callers. It is told which calls did not run.
+};
+
 /// @brief Reads requests from one connection and answers them in order. Must be owned by a
 /// shared_ptr.
 class caller_session : public std::enable_shared_from_this<caller_session> {
  public:
-  caller_session(traffic_state& state, beast::tcp_stream stream);
+  caller_session(traffic_state& state,
+                 beast::tcp_stream stream,
+                 session_peer peer = session_peer::caller);
 
   /// @brief Serves the connection until it is closed.
   asio::awaitable<void> run();
@@ -41,6 +49,7 @@
 
   traffic_state& state_;
   beast::tcp_stream stream_;
+  session_peer peer_;
   beast::flat_buffer buffer_;
   bool idle_ = true;
 };
--- a/include/catkintack/serving/frontend_server.hpp
+++ b/include/catkintack/serving/frontend_server.hpp
@@ -30,7 +30,7 @@
   void stop(std::function<void(std::size_t)> stopped);
 
  private:
-  void serve_caller(asio::ip::tcp::socket socket);
+  void serve_caller(asio::ip::tcp::socket socket, session_peer peer);
   asio::awaitable<void> serve_health_checks(beast::tcp_stream stream);
   asio::awaitable<void> run_maintenance();
   asio::awaitable<void> drain(std::function<void(std::size_t)> stopped);
@@ -41,6 +41,7 @@
   asio::io_context& io_;
   traffic_state& state_;
   listener caller_listener_;
+  listener relay_listener_;  ///< For calls that other hosts relay.
   listener health_check_listener_;
   isolation_check isolation_check_;
   std::list<std::weak_ptr<caller_session>> sessions_;
--- a/include/catkintack/serving/isolation_check.hpp
+++ b/include/catkintack/serving/isolation_check.hpp
@@ -25,7 +25,7 @@
 
   /// @brief Runs for the life of the process.
   asio::awaitable<void> run();
-  /// @brief Called when an upstream could not be reached, or was reached again.
+  /// @brief Called when an upstream could not be reached.
   void wake();
 
  private:
--- a/include/catkintack/serving/serving_options.hpp
+++ b/include/catkintack/serving/serving_options.hpp
@@ -19,6 +19,8 @@
 struct serving_options {
   base::address callers;    ///< Listening address for callers.
   base::address readiness;  ///< Listening address for health checks and metrics.
+  /// Listening address for calls relayed by other hosts; port 0: none are accepted.
+  base::address relays;
   std::string readiness_path = "/readyz";
   base::host_id host;
   base::region_id region;
--- a/include/catkintack/serving/traffic_state.hpp
+++ b/include/catkintack/serving/traffic_state.hpp
@@ -14,6 +14,7 @@
 #include "catkintack/choice/crash_ledger.hpp"
 #include "catkintack/choice/isolation_detector.hpp"
 #include "catkintack/choice/outlier_detector.hpp"
+#include "catkintack/choice/relay_hosts.hpp"
 #include "catkintack/choice/route_statistics.hpp"
 #include "catkintack/choice/send_permits.hpp"
 #include "catkintack/choice/upstream_limits.hpp"
@@ -64,8 +65,9 @@
   /// Called when an upstream answered a request that was suspect; may be unset.
   std::function<void(const choice::crash_record&)> on_request_cleared;
   choice::isolation_detector isolation;
-  /// Called when an upstream could not be reached, or one was reached again; may be unset.
-  std::function<void()> on_reachability_changed;
+  std::function<void()> on_upstream_unreachable;  ///< May be unset.
+  std::function<void()> on_isolated;  ///< Called when this host reaches no upstream; may be unset.
+  choice::relay_hosts relays;         ///< Hosts that can serve calls while this one is isolated.
   base::instant last_upstream_response = base::instant::min();  ///< To a call or a probe.
   limits::resend_budget repeats;
   limits::byte_budget remote_bytes;  ///< Budget for traffic between regions.
@@ -89,6 +91,8 @@
   bool take_permit(const base::upstream_id& id) {
     return !upstream_limits.limit_of(id) || permits.take(id, clock());
   }
+  /// @brief Whether this host can serve calls for others.
+  bool can_relay() const { return ready() && !isolation.isolated(); }
   /// @brief Logs requests whose quarantine began or ended, and calls on_crashes_changed.
   void notify_crashes_changed();
   /// @brief Whether the readiness check should direct new callers to this host.
--- a/src/catkintack/control/feed_client.cpp
+++ b/src/catkintack/control/feed_client.cpp
@@ -47,6 +47,16 @@
   return end == base::instant::min() ? base::duration(-1) : end - state_.clock();
 }
 
+std::vector<base::address> feed_client::publishers() const {
+  std::vector<base::address> result;
+  for (const auto& slot : slots_) {
+    if (slot->publisher.port != 0) {
+      result.push_back(slot->publisher);
+    }
+  }
+  return result;
+}
+
 bool feed_client::up_to_date() const { return up_to_date_for() >= base::duration::zero(); }
 
 void feed_client::update_status() {
--- a/src/catkintack/control/feed_server.cpp
+++ b/src/catkintack/control/feed_server.cpp
@@ -56,6 +56,14 @@
   }
 }
 
+std::vector<base::address> feed_server::subscribers() const {
+  std::vector<base::address> result;
+  for (const auto& host : subscribers_) {
+    result.push_back(host->feed_address);
+  }
+  return result;
+}
+
 bool feed_server::has_capacity_for(const feed_subscription& request) const {
   if (subscribers_.size() >= options_.max_subscribers) {
     return false;
--- a/src/catkintack/control/read_host_settings.cpp
+++ b/src/catkintack/control/read_host_settings.cpp
@@ -147,6 +147,7 @@
       {"listen.readiness", true, address_value(&host_settings::readiness)},
       {"listen.peers", true, address_value(&host_settings::peers)},
       {"listen.permits", false, address_value(&host_settings::permits)},
+      {"listen.relays", false, address_value(&host_settings::relays)},
       {"registry.address", true, address_value(&host_settings::registry)},
       {"registry.edits_due", false, duration_value(&host_settings::edits_due)},
       {"peers.seeds", false, address_list_value()},
--- a/src/catkintack/serving/call_runner.cpp
+++ b/src/catkintack/serving/call_runner.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "catkintack/serving/crash_check.hpp"
+#include "catkintack/serving/relay_call.hpp"
 #include "catkintack/serving/status.hpp"
 #include "catkintack/serving/task.hpp"
 #include "catkintack/serving/upstream_selection.hpp"
@@ -235,6 +236,62 @@
   co_return attempt;
 }
 
+/// @brief Ends a call of a host that reaches no upstream: another host serves it, unless it came
+/// from one.
+asio::awaitable<relay_result> serve_isolated(traffic_state& state,
+                                             asio::any_io_executor executor,
+                                             std::shared_ptr<call> served,
+                                             const call_progress& progress) {
+  if (!served->relayed) {
+    co_return co_await relay_call(state, std::move(executor), std::move(served),
+                                  progress.may_have_run);
+  }
+  relay_result result{.result = {}, .taken = true};
+  result.result.local = progress.may_have_run
+                            ? make_local_response(state, *served, status::bad_gateway,
+                                                  "no whole answer from an upstream\n")
+                            : make_local_response(state, *served, status::misdirected,
+                                                  "not run: this host reaches no upstream\n");
+  co_return result;
+}
+
+/// @brief The result of a call for which no upstream needs to be sought; nothing if one is to be.
+asio::awaitable<std::optional<call_result>> settle_without_search(traffic_state& state,
+                                                                  asio::any_io_executor executor,
+                                                                  std::shared_ptr<call> served,
+                                                                  const call_progress& progress,
+                                                                  call_diagnostics diagnostics) {
+  if (state.crashes.is_quarantined(served->fingerprint)) {
+    co_return refuse_quarantined(state, *served, progress, std::move(diagnostics));
+  }
+  if (state.isolation.isolated()) {
+    relay_result relayed =
+        co_await serve_isolated(state, std::move(executor), std::move(served), progress);
+    if (relayed.taken || !state.isolation.reaches_some()) {
+      co_return std::move(relayed.result);
+    }
+  }
+  co_return std::nullopt;
+}
+
+/// @brief The result of a call for which no upstream was found.
+/// @param pause Time until one may be found; 0 if unknown.
+asio::awaitable<call_result> settle_without_upstream(traffic_state& state,
+                                                     asio::any_io_executor executor,
+                                                     std::shared_ptr<call> served,
+                                                     const call_progress& progress,
+                                                     call_diagnostics diagnostics,
+                                                     base::duration pause) {
+  if (state.isolation.isolated() && !served->caller_left) {
+    relay_result relayed =
+        co_await serve_isolated(state, std::move(executor), std::move(served), progress);
+    co_return std::move(relayed.result);
+  }
+  const base::duration retry_after =
+      pause > base::duration::zero() ? pause : state.options.placement.min_retry_after;
+  co_return give_up(state, *served, progress, retry_after, diagnostics);
+}
+
 /// @brief Whether the call is over, however its caller fares.
 bool ends_call(const exchange_result& attempt, const call& served) {
   return served.caller_left || attempt.outcome == exchange_outcome::caller_left ||
@@ -265,13 +322,16 @@
                                       asio::any_io_executor executor,
                                       std::shared_ptr<call> served) {
   const base::service_id service = pick_service(*served->route, state.random);
-  state.repeats.on_request(service, state.clock());
+  if (!served->relayed) {
+    // A relayed call counts once, at the host that received it from its caller.
+    state.repeats.on_request(service, state.clock());
+  }
   call_progress progress;
   call_diagnostics diagnostics;
-  base::duration retry_after = state.options.placement.min_retry_after;
   for (;;) {
-    if (state.crashes.is_quarantined(served->fingerprint)) {
-      co_return refuse_quarantined(state, *served, progress, diagnostics);
+    auto settled = co_await settle_without_search(state, executor, served, progress, diagnostics);
+    if (settled) {
+      co_return std::move(*settled);
     }
     upstream_selection selection =
         co_await select_upstream(state, executor, *served, service, progress.tried);
@@ -280,10 +340,8 @@
     diagnostics.expected = selection.decision.expected.total;
     diagnostics.considered = selection.considered;
     if (!selection.connection || served->caller_left) {
-      if (selection.decision.pause > base::duration::zero()) {
-        retry_after = selection.decision.pause;
-      }
-      co_return give_up(state, *served, progress, retry_after, diagnostics);
+      co_return co_await settle_without_upstream(state, executor, served, progress, diagnostics,
+                                                 selection.decision.pause);
     }
     if (state.crashes.is_quarantined(served->fingerprint)) {
       // The verdict came while the call was held.
@@ -317,7 +375,8 @@
       result.upstream_response = std::move(attempt);
       co_return result;
     }
-    co_return give_up(state, *served, progress, retry_after, diagnostics);
+    co_return give_up(state, *served, progress, state.options.placement.min_retry_after,
+                      diagnostics);
   }
 }
 
--- a/src/catkintack/serving/caller_session.cpp
+++ b/src/catkintack/serving/caller_session.cpp
@@ -62,8 +62,8 @@
 
 }  // namespace
 
-caller_session::caller_session(traffic_state& state, beast::tcp_stream stream)
-    : state_(state), stream_(std::move(stream)) {}
+caller_session::caller_session(traffic_state& state, beast::tcp_stream stream, session_peer peer)
+    : state_(state), stream_(std::move(stream)), peer_(peer) {}
 
 bool caller_session::idle() {
   if (!idle_ || !stream_.socket().is_open()) {
@@ -91,6 +91,9 @@
 
 asio::awaitable<void> caller_session::refuse(local_response response) {
   response.request_id_header = state_.options.protocol.request_id;
+  if (peer_ == session_peer::host) {
+    response.not_run_header = state_.options.protocol.not_run;
+  }
   state_.metrics.add("own_answers_total{status=\"" + std::to_string(response.status) + "\"}");
   state_.log.write(
       "request_refused",
@@ -140,9 +143,10 @@
   admitted->id = std::string(to_string_view(head[names.request_id]));
   admitted->arrived = state_.clock();
   admitted->table = state_.table;
+  admitted->relayed = peer_ == session_peer::host;
   local_response response{.request_id = admitted->id};
   if (!admitted->table || state_.stop == stop_stage::refusing) {
-    response.status = status::unavailable;
+    response.status = admitted->relayed ? status::misdirected : status::unavailable;
     response.body =
         admitted->table ? "not run: this host stops\n" : "not run: no routes known yet\n";
     response.retry_after = unready_retry_after;
@@ -152,7 +156,8 @@
   admitted->route = admitted->table->match(to_string_view(head[http::field::host]),
                                            to_string_view(head.target()));
   if (admitted->route == nullptr) {
-    response.status = status::not_found;
+    // The other host has a route for it, so that one of the two tables is out of date.
+    response.status = admitted->relayed ? status::misdirected : status::not_found;
     response.body = "no route takes this request\n";
     co_await refuse(std::move(response));
     co_return nullptr;
@@ -260,6 +265,8 @@
                                   {"took_us", elapsed.count()},
                                   {"attempts", result.diagnostics.attempts},
                                   {"rounds", result.diagnostics.rounds},
+                                  {"relayed", served.relayed ? 1 : 0},
+                                  {"relay", result.diagnostics.relay},
                                   {"quarantined", result.diagnostics.quarantined ? 1 : 0},
                                   {"considered", result.diagnostics.considered}});
 }
@@ -308,7 +315,12 @@
                                                     const call& served,
                                                     bool close_after) {
   if (!result.upstream_response) {
-    std::string text = serialize(result.local.value_or(local_response{}), close_after);
+    local_response local = result.local.value_or(local_response{});
+    const bool not_run = local.status == status::unavailable || local.status == status::misdirected;
+    if (peer_ == session_peer::host && not_run) {
+      local.not_run_header = state_.options.protocol.not_run;
+    }
+    std::string text = serialize(local, close_after);
     co_return co_await write(std::move(text));
   }
   exchange_result& response = *result.upstream_response;
--- a/src/catkintack/serving/frontend_server.cpp
+++ b/src/catkintack/serving/frontend_server.cpp
@@ -31,6 +31,7 @@
     : io_(io),
       state_(state),
       caller_listener_(io),
+      relay_listener_(io),
       health_check_listener_(io),
       isolation_check_(io.get_executor(), state) {}
 
@@ -38,10 +39,19 @@
   const auto on_error = [this](const error_code& error) {
     state_.log.write("accept_failed", {{"why", error.message()}});
   };
-  const auto serve = [this](asio::ip::tcp::socket socket) { serve_caller(std::move(socket)); };
-  if (const error_code error = caller_listener_.listen(state_.options.callers, serve, on_error)) {
+  const auto serve = [this](session_peer peer) {
+    return [this, peer](asio::ip::tcp::socket socket) { serve_caller(std::move(socket), peer); };
+  };
+  if (const error_code error =
+          caller_listener_.listen(state_.options.callers, serve(session_peer::caller), on_error)) {
     return error;
   }
+  if (state_.options.relays.port != 0) {
+    if (const error_code error =
+            relay_listener_.listen(state_.options.relays, serve(session_peer::host), on_error)) {
+      return error;
+    }
+  }
   const auto check = [this](asio::ip::tcp::socket socket) {
     spawn_task(io_.get_executor(), state_.log, "health_check",
                serve_health_checks(beast::tcp_stream(std::move(socket))));
@@ -52,16 +62,17 @@
   }
   spawn_service(io_.get_executor(), state_.log, "maintenance",
                 [this] { return run_maintenance(); });
-  state_.on_reachability_changed = [this] { isolation_check_.wake(); };
+  state_.on_upstream_unreachable = [this] { isolation_check_.wake(); };
   spawn_service(io_.get_executor(), state_.log, "isolation_check",
                 [this] { return isolation_check_.run(); });
   return {};
 }
 
-void frontend_server::serve_caller(asio::ip::tcp::socket socket) {
+void frontend_server::serve_caller(asio::ip::tcp::socket socket, session_peer peer) {
   error_code ignored;  // Without the option latency is higher, but the connection works.
   socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-  auto session = std::make_shared<caller_session>(state_, beast::tcp_stream(std::move(socket)));
+  auto session =
+      std::make_shared<caller_session>(state_, beast::tcp_stream(std::move(socket)), peer);
   sessions_.push_back(session);
   spawn_task(io_.get_executor(), state_.log, "caller_session", run_session(session));
 }
@@ -137,6 +148,7 @@
   co_await sleep_for(io_, state_.options.stop_accepting_after);
   state_.stop = stop_stage::refusing;
   caller_listener_.close();
+  relay_listener_.close();
   while (state_.clock() - started_at < state_.options.stop_limit) {
     if (close_idle()) {
       break;
--- a/src/catkintack/serving/http_message.cpp
+++ b/src/catkintack/serving/http_message.cpp
@@ -101,6 +101,9 @@
   if (!response.request_id.empty()) {
     head.add(response.request_id_header, response.request_id);
   }
+  if (!response.not_run_header.empty()) {
+    head.add(response.not_run_header, "1");
+  }
   if (close) {
     head.add("Connection", "close");
   }
--- a/src/catkintack/serving/isolation_check.cpp
+++ b/src/catkintack/serving/isolation_check.cpp
@@ -15,7 +15,7 @@
   explicit parallel_attempts(const asio::any_io_executor& executor) : ended(executor) {}
   asio::steady_timer ended;
   std::size_t pending = 0;
-  bool connected = false;
+  std::size_t connected = 0;
 };
 
 asio::awaitable<void> try_upstream(traffic_state& state,
@@ -24,7 +24,7 @@
                                    std::shared_ptr<parallel_attempts> attempts) {
   auto connection = co_await open_connection(state, executor, upstream.where, upstream.id,
                                              state.options.remote_probe_timeout);
-  attempts->connected = attempts->connected || connection != nullptr;
+  attempts->connected += connection ? 1 : 0;
   --attempts->pending;
   state.pool.release(std::move(connection), state.clock());
   attempts->ended.cancel();
@@ -64,13 +64,14 @@
                try_upstream(state_, executor_, upstream, attempts));
   }
   const base::instant until = state_.clock() + state_.options.remote_probe_timeout;
-  while (attempts->pending > 0 && !attempts->connected && state_.clock() < until) {
+  // Without isolation one connection settles the matter; to end it, all results count.
+  const bool needs_all = state_.isolation.isolated();
+  while (attempts->pending > 0 && (needs_all || attempts->connected == 0) &&
+         state_.clock() < until) {
     attempts->ended.expires_after(until - state_.clock());
     co_await attempts->ended.async_wait(no_throw);
   }
-  if (!attempts->connected) {
-    state_.isolation.on_check_failed();
-  }
+  state_.isolation.on_check(attempts->connected, chosen.size(), state_.clock());
 }
 
 void isolation_check::log_change() {
@@ -82,6 +83,9 @@
   state_.metrics.set("isolated", isolated ? 1 : 0);
   state_.log.write(isolated ? "upstreams_unreachable" : "upstreams_reached",
                    {{"known", state_.upstreams.size()}});
+  if (isolated && state_.on_isolated) {
+    state_.on_isolated();
+  }
 }
 
 asio::awaitable<void> isolation_check::run() {
--- a/src/catkintack/serving/isolation_test.cpp
+++ b/src/catkintack/serving/isolation_test.cpp
@@ -12,6 +12,7 @@
 using tests::received_request;
 using tests::scripted_caller;
 using tests::scripted_reply;
+using tests::scripted_upstream;
 using tests::serving_fixture;
 using tests::valid_response;
 
@@ -46,7 +47,9 @@
   caller.get("one");
   ASSERT_TRUE(world.run_until([&] { return has_logged(world, "upstreams_unreachable"); }));
   EXPECT_TRUE(world.state.isolation.isolated());
-  world.add("a", greet);
+  for (const char* name : {"a", "b", "c"}) {
+    world.add(name, greet);
+  }
   ASSERT_TRUE(world.run_until([&] { return has_logged(world, "upstreams_reached"); }));
   EXPECT_FALSE(world.state.isolation.isolated());
 }
@@ -69,14 +72,23 @@
 
 /// @brief A host without links to the upstreams and one with them, which it can reach.
 struct split_fleet {
-  split_fleet() {
+  explicit split_fleet(delivery_kind delivery = delivery_kind::at_most_once,
+                       const scripted_upstream::script& answer = greet) {
     for (serving_fixture* const host : {&cut_off, &neighbour}) {
-      host->set_route(delivery_kind::at_most_once);
+      host->set_route(delivery);
     }
     for (const char* name : {"a", "b", "c"}) {
-      upstreams.push_back(&neighbour.add(name, greet));
+      upstreams.push_back(&neighbour.add(name, answer));
     }
     add_unreachable(cut_off, {"a", "b", "c"});
+    offer_relay();
+  }
+
+  /// @brief Makes the offer of the neighbour known to the other host.
+  void offer_relay() {
+    cut_off.state.relays.on_offer(neighbour.state.options.relays,
+                                  {.available = neighbour.state.can_relay()},
+                                  cut_off.state.clock());
   }
 
   bool run_until(const std::function<bool()>& condition) {
@@ -87,6 +99,21 @@
     }
     return condition();
   }
+  /// @brief Makes calls until the host without links has noticed it.
+  void isolate() {
+    for (int i = 0; !cut_off.state.isolation.isolated() && i < 20; ++i) {
+      call_once("early-" + std::to_string(i));
+    }
+    ASSERT_TRUE(cut_off.state.isolation.isolated());
+    offer_relay();
+  }
+  std::size_t runs() const {
+    std::size_t count = 0;
+    for (const auto* const upstream : upstreams) {
+      count += upstream->received.size();
+    }
+    return count;
+  }
   /// @brief Makes one call through the host without links.
   std::string call_once(const std::string& id) {
     scripted_caller caller(cut_off);
@@ -97,7 +124,9 @@
   }
 
   serving_fixture cut_off;
-  serving_fixture neighbour;
+  serving_fixture neighbour{[](serving_options& options) {
+    options.relays = {"127.0.0.1", tests::free_port()};
+  }};
   std::vector<tests::scripted_upstream*> upstreams;
 };
 
@@ -115,5 +144,105 @@
   EXPECT_GE(served, calls - (10 + calls / 50));
 }
 
+TEST(isolation, relayed_call_runs_once_and_unchanged) {
+  split_fleet fleet;
+  fleet.isolate();
+  const std::size_t before = fleet.runs();
+  scripted_caller caller(fleet.cut_off);
+  caller.send(
+      "POST /p/x?q=1 HTTP/1.1\r\nHost: a.example\r\nCatkintack-Request-Id: one\r\n"
+      "Catkintack-Time-Left-Ms: 4000\r\nX-Own: kept\r\nContent-Length: 4\r\n\r\nbody");
+  ASSERT_TRUE(
+      fleet.run_until([&] { return caller.received_bytes.find("hello") != std::string::npos; }));
+  EXPECT_EQ(fleet.runs(), before + 1);
+  for (const auto* const upstream : fleet.upstreams) {
+    for (const received_request& request : upstream->received) {
+      if (request["Catkintack-Request-Id"] == "one") {
+        EXPECT_EQ(request.target(), "/p/x?q=1");
+        EXPECT_EQ(request.body(), "body");
+        EXPECT_EQ(request["X-Own"], "kept");
+        EXPECT_EQ(request["Catkintack-Expected-Upstream"], upstream->id);
+        EXPECT_LE(std::stoi(std::string(request["Catkintack-Time-Left-Ms"])), 4000);
+      }
+    }
+  }
+}
+
+// Guards against hosts that send a call to each other although none of them reaches an upstream.
+TEST(isolation, relayed_call_is_not_relayed_further) {
+  split_fleet fleet;
+  fleet.isolate();
+  fleet.neighbour.state.isolation.on_check(0, 4, fleet.neighbour.state.clock());
+  fleet.neighbour.state.relays.on_offer(fleet.neighbour.state.options.relays, {.available = true},
+                                        fleet.neighbour.state.clock());
+  const std::size_t before = fleet.runs();
+  const std::string answer = fleet.call_once("one");
+  EXPECT_NE(answer.find("HTTP/1.1 503"), std::string::npos) << answer;
+  EXPECT_NE(answer.find("Retry-After: 0.500"), std::string::npos) << answer;
+  EXPECT_EQ(fleet.runs(), before);
+}
+
+TEST(isolation, refusal_of_the_other_host_reaches_the_caller) {
+  split_fleet fleet;
+  fleet.isolate();
+  for (auto* const upstream : fleet.upstreams) {
+    upstream->load = "2,90,2,100";
+  }
+  const std::string answer = fleet.call_once("one");
+  EXPECT_NE(answer.find("HTTP/1.1 503"), std::string::npos) << answer;
+  EXPECT_NE(answer.find("Retry-After: "), std::string::npos) << answer;
+  // That is what a host without any other host to ask would say.
+  EXPECT_EQ(answer.find("Retry-After: 0.500"), std::string::npos) << answer;
+  EXPECT_EQ(answer.find("Catkintack-Not-Run"), std::string::npos) << answer;
+}
+
+TEST(isolation, host_without_the_route_is_not_asked_to_decide) {
+  split_fleet fleet;
+  fleet.isolate();
+  fleet.neighbour.state.table = std::make_shared<const routes::route_table>(
+      routes::route_table_builder(base::list_version(9)).build());
+  const std::string answer = fleet.call_once("one");
+  EXPECT_NE(answer.find("HTTP/1.1 503"), std::string::npos) << answer;
+}
+
+// Guards against a second run of a call whose relay ended without an answer.
+TEST(isolation, call_is_not_sent_again_if_the_other_host_lost_its_answer) {
+  split_fleet fleet(delivery_kind::at_most_once, [](const received_request&) -> scripted_reply {
+    return {.close_after = true};
+  });
+  fleet.isolate();
+  const std::size_t before = fleet.runs();
+  const std::string answer = fleet.call_once("one");
+  EXPECT_NE(answer.find("HTTP/1.1 502"), std::string::npos) << answer;
+  EXPECT_EQ(fleet.runs(), before + 1);
+}
+
+TEST(isolation, upstream_is_released_when_the_caller_leaves) {
+  split_fleet fleet(delivery_kind::repeatable,
+                    [](const received_request&) -> scripted_reply { return {.withhold = true}; });
+  fleet.cut_off.state.isolation.on_check(0, 4, fleet.cut_off.state.clock());
+  fleet.offer_relay();
+  scripted_caller caller(fleet.cut_off);
+  caller.get("one");
+  ASSERT_TRUE(fleet.run_until([&] { return fleet.runs() == 1; }));
+  caller.disconnect();
+  EXPECT_TRUE(fleet.run_until([&] {
+    return std::ranges::any_of(fleet.upstreams,
+                               [](const auto* one) { return one->closed_by_gateway > 0; });
+  }));
+}
+
+TEST(isolation, host_that_reaches_some_upstreams_serves_what_no_other_host_takes) {
+  serving_fixture world;
+  world.set_route(delivery_kind::at_most_once);
+  world.add("a", greet);
+  const base::instant now = world.state.clock();
+  world.state.isolation.on_check(0, 4, now);
+  world.state.isolation.on_check(1, 4, now);
+  scripted_caller caller(world);
+  caller.get("one");
+  EXPECT_TRUE(caller.wait_for("hello"));
+}
+
 }  // namespace
 }  // namespace catkintack::serving
--- a/src/catkintack/serving/open_connection.cpp
+++ b/src/catkintack/serving/open_connection.cpp
@@ -12,15 +12,13 @@
     base::duration limit) {
   state.metrics.add("upstream_connections_total");
   auto [connection, error] = co_await connect_upstream(executor, std::move(where), id, limit);
-  const bool was_isolated = state.isolation.isolated();
   if (connection) {
     state.isolation.on_connected();
   } else {
     state.isolation.on_unreachable(id);
-  }
-  const bool news = !connection || was_isolated;
-  if (news && state.on_reachability_changed) {
-    state.on_reachability_changed();
+    if (state.on_upstream_unreachable) {
+      state.on_upstream_unreachable();
+    }
   }
   co_return std::move(connection);
 }
--- a/src/catkintack/serving/traffic_state.cpp
+++ b/src/catkintack/serving/traffic_state.cpp
@@ -15,6 +15,7 @@
       pool(options.max_idle_per_upstream, options.max_idle_time),
       outlier_detector(options.outlier_detection),
       permits(options.permits, random),
+      relays({.region = options.region, .failure_domain = options.failure_domain}),
       repeats(options.repeats),
       remote_bytes(options.remote_bytes_per_second, options.remote_bytes_burst) {}
 
