Read bytes that are no answer only up to a limit

Callers saw nothing yet; the users' pages say that upstreams in trouble may send bytes without end.

Change: at most eight informational answers and 256 KB of another call's answer are skipped, and at most 64 KB are read ahead of the parser (on callers' connections beside the largest head). The attempt then fails and the connection is closed.

Streaming of a proven answer is unchanged: it goes to the caller.

--- a/include/catkintack/serving/upstream_connection.hpp
+++ b/include/catkintack/serving/upstream_connection.hpp
@@ -15,8 +15,12 @@
 struct upstream_connection {
   explicit upstream_connection(const asio::any_io_executor& executor) : stream(executor) {}
 
+  /// Limits what is read ahead of the parser, such as an endless chunk extension.
+  static constexpr std::size_t max_read_ahead = 64U << 10U;
+
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;  ///< Read-ahead; bytes left after a response belong to no call.
+  beast::flat_buffer buffer{
+      max_read_ahead};  ///< Read-ahead; bytes left after a response belong to no call.
   base::upstream_id upstream;
   base::instant idle_since;
   base::duration idle_timeout{};  ///< From the upstream's Keep-Alive header; 0 if absent.
--- a/src/catkintack/serving/caller_session.cpp
+++ b/src/catkintack/serving/caller_session.cpp
@@ -113,6 +113,7 @@
   const routes::request_limits bounds = limits();
   parser.header_limit(static_cast<std::uint32_t>(bounds.max_header_bytes));
   parser.body_limit(bounds.max_body_bytes);
+  buffer_.max_size(bounds.max_header_bytes + upstream_connection::max_read_ahead);
   if (buffer_.size() == 0) {
     idle_ = true;
     stream_.expires_after(bounds.idle_timeout);
--- a/src/catkintack/serving/exchange.cpp
+++ b/src/catkintack/serving/exchange.cpp
@@ -13,6 +13,9 @@
 // A connection may still deliver late responses to earlier calls; with more than this many, the
 // attempt fails.
 constexpr int max_stray_responses = 3;
+constexpr std::size_t max_stray_body = 256U << 10U;
+// Informational responses before the final one.
+constexpr int max_informational_responses = 8;
 
 std::string request_head(const call& sent,
                          const upstream_connection& connection,
@@ -73,7 +76,9 @@
     const call& sent,
     const upstream_protocol& protocol,
     upstream_notice& notice) {
-  for (int stray = 0; stray <= max_stray_responses;) {
+  int informational = 0;
+  for (int stray = 0;
+       stray <= max_stray_responses && informational <= max_informational_responses;) {
     auto parser = std::make_unique<response_parser>();
     parser->body_limit(boost::none);
     parser->skip(sent.method == "HEAD");
@@ -83,6 +88,7 @@
       co_return std::pair{nullptr, error};
     }
     if (parser->get().result_int() < status::ok) {
+      ++informational;
       continue;
     }
     const upstream_notice read =
@@ -97,9 +103,12 @@
     ++stray;
     std::string dropped;
     if (const error_code body_error = co_await read_body(connection.stream, connection.buffer,
-                                                         *parser, dropped, std::string::npos)) {
+                                                         *parser, dropped, max_stray_body)) {
       co_return std::pair{nullptr, body_error};
     }
+    if (!parser->is_done()) {
+      co_return std::pair{nullptr, error_code(http::error::body_limit)};
+    }
   }
   co_return std::pair{nullptr, error_code(http::error::bad_status)};
 }
--- a/tests/serving_fixture.hpp
+++ b/tests/serving_fixture.hpp
@@ -12,6 +12,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -31,6 +32,8 @@
   std::string bytes{};       ///< Written to the connection unchanged.
   bool close_after = false;  ///< Closes the connection after writing them.
   bool withhold = false;     ///< Never responds; keeps the connection until the gateway closes it.
+  bool endless = false;      ///< Repeats the bytes after `bytes` until the connection is closed.
+  std::string repeated{};    ///< The bytes that an endless reply repeats.
   bool crash = false;        ///< Ends the upstream: all its connections, and it refuses new ones.
 };
 
@@ -55,11 +58,13 @@
 
   std::string id;
   std::string load = "0,0,2,100";
-  std::vector<received_request> received;  ///< Probes are not included.
+  std::optional<scripted_reply> probe_reply;  ///< Replaces the answer to probes.
+  std::vector<received_request> received;     ///< Probes are not included.
   int probes = 0;
   int connections = 0;
   int closed_by_gateway = 0;  ///< Connections closed while a response was withheld.
   bool crashed = false;
+  std::size_t endless_bytes = 0;  ///< Sent by endless replies.
 
  private:
   asio::awaitable<void> accept_all(asio::io_context& io) {
@@ -89,6 +94,9 @@
   scripted_reply respond_to(const received_request& request) {
     if (request.target() == "/health") {
       ++probes;
+      if (probe_reply) {
+        return *probe_reply;
+      }
       return {.bytes = "HTTP/1.1 200 OK\r\nCatkintack-Upstream: " + id +
                        "\r\nCatkintack-Load: " + load + "\r\nContent-Length: 0\r\n\r\n"};
     }
@@ -117,6 +125,15 @@
         co_return;
       }
       co_await asio::async_write(*stream, asio::buffer(reply.bytes), serving::no_throw);
+      while (reply.endless) {
+        auto [error, written] =
+            co_await asio::async_write(*stream, asio::buffer(reply.repeated), serving::no_throw);
+        endless_bytes += written;
+        if (error) {
+          ++closed_by_gateway;
+          co_return;
+        }
+      }
       if (reply.close_after) {
         co_return;
       }
@@ -269,6 +286,11 @@
 
   /// @brief Sends bytes unchanged.
   void send(const std::string& bytes) { asio::write(socket_, asio::buffer(bytes)); }
+  /// @brief Sends bytes that the gateway may refuse by closing the connection.
+  void send_some(const std::string& bytes) {
+    serving::error_code closed_by_gateway;
+    asio::write(socket_, asio::buffer(bytes), closed_by_gateway);
+  }
   /// @brief Sends a GET request without a body.
   void get(const std::string& id, const std::string& target = "/p/x") {
     send("GET " + target + " HTTP/1.1\r\nHost: a.example\r\nCatkintack-Request-Id: " + id +
