--- a/include/catkintack/control/permit_exchange.hpp
+++ b/include/catkintack/control/permit_exchange.hpp
@@ -2,18 +2,14 @@
 /// Divides the limits that upstreams name among all hosts.
 #pragma once
 
-#include <array>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/udp.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <chrono>
 #include <string>
 #include <vector>
 
 #include "catkintack/base/address.hpp"
+#include "catkintack/control/datagram_channel.hpp"
 #include "catkintack/control/permit_message.hpp"
 #include "catkintack/limits/send_reservations.hpp"
-#include "catkintack/serving/io.hpp"
 #include "catkintack/serving/traffic_state.hpp"
 
 namespace catkintack::control {
@@ -48,11 +44,8 @@
   void report(const base::upstream_id& upstream);
 
  private:
-  /// Larger than any valid datagram, whose ids have at most some hundred characters.
-  static constexpr std::size_t max_datagram = 2048;
-
-  boost::asio::awaitable<void> receive();
-  void handle(const permit_message& message, const boost::asio::ip::udp::endpoint& sender);
+  void receive(const std::string& bytes, const base::address& sender);
+  void handle(const permit_message& message, const base::address& from);
   permit_message answer(const permit_message& request, const std::string& host);
   void apply_reply(const permit_message& reply, std::size_t authority);
   void send(const permit_message& message, const base::address& target);
@@ -60,10 +53,8 @@
 
   serving::traffic_state& state_;
   permit_exchange_options options_;
-  boost::asio::ip::udp::socket socket_;
-  boost::asio::steady_timer pause_;
+  datagram_channel channel_;
   limits::send_reservations reservations_;
-  std::array<char, max_datagram> buffer_{};
 };
 
 }  // namespace catkintack::control
--- a/src/catkintack/control/permit_exchange.cpp
+++ b/src/catkintack/control/permit_exchange.cpp
@@ -4,50 +4,26 @@
 #include <utility>
 
 #include "catkintack/control/message_channel.hpp"
-#include "catkintack/serving/task.hpp"
 
 namespace catkintack::control {
 namespace {
 
-namespace asio = boost::asio;
-using asio::ip::udp;
-using serving::no_throw;
-
 // Wait of a refusal by an authority that does not know the upstream yet.
 constexpr base::duration unknown_upstream_wait = std::chrono::milliseconds(500);
 constexpr base::duration max_wait = std::chrono::minutes(10);
 // Upstreams above this number are forgotten; each then starts with a full interval.
 constexpr std::size_t max_reservations = 10000;
-constexpr base::duration pause_after_error = std::chrono::milliseconds(100);
-
-udp::endpoint to_endpoint(const base::address& where, boost::system::error_code& error) {
-  return {asio::ip::make_address(where.ip, error), where.port};
-}
 
 }  // namespace
 
-permit_exchange::permit_exchange(asio::io_context& io,
+permit_exchange::permit_exchange(boost::asio::io_context& io,
                                  serving::traffic_state& state,
                                  permit_exchange_options options)
-    : state_(state), options_(std::move(options)), socket_(io), pause_(io) {}
+    : state_(state), options_(std::move(options)), channel_(io, state, "permit") {}
 
 boost::system::error_code permit_exchange::open() {
-  boost::system::error_code error;
-  const udp::endpoint where = to_endpoint(options_.self, error);
-  if (!error) {
-    socket_.open(udp::v4(), error);
-  }
-  if (!error) {
-    socket_.bind(where, error);
-  }
-  if (!error) {
-    socket_.non_blocking(true, error);
-  }
-  if (!error) {
-    serving::spawn_service(socket_.get_executor(), state_.log, "permits",
-                           [this] { return receive(); });
-  }
-  return error;
+  return channel_.open(options_.self,
+                       [this](const auto& bytes, const auto& sender) { receive(bytes, sender); });
 }
 
 bool permit_exchange::is_authority() const {
@@ -126,8 +102,7 @@
   }
 }
 
-void permit_exchange::handle(const permit_message& message, const udp::endpoint& sender) {
-  const base::address from{sender.address().to_string(), sender.port()};
+void permit_exchange::handle(const permit_message& message, const base::address& from) {
   const std::string source = base::to_string(from);
   if (message.report) {
     apply_limit_report(state_, *message.report, source);
@@ -143,41 +118,15 @@
 }
 
 void permit_exchange::send(const permit_message& message, const base::address& target) {
-  boost::system::error_code error;
-  const udp::endpoint where = to_endpoint(target, error);
-  const std::string bytes = encode(message);
-  if (!error) {
-    socket_.send_to(asio::buffer(bytes), where, 0, error);
-  }
-  if (error) {
-    // The other side treats a missing datagram like a lost one.
-    state_.metrics.add("permit_sends_failed_total");
-    state_.log.write("permit_send_failed",
-                     {{"host", base::to_string(target)}, {"why", error.message()}});
-  }
+  channel_.send(encode(message), target);
 }
 
-asio::awaitable<void> permit_exchange::receive() {
-  for (;;) {
-    udp::endpoint sender;
-    auto [error, count] =
-        co_await socket_.async_receive_from(asio::buffer(buffer_), sender, no_throw);
-    if (error == asio::error::operation_aborted) {
-      co_return;
-    }
-    if (error) {
-      state_.log.write("permit_receive_failed", {{"why", error.message()}});
-      pause_.expires_after(pause_after_error);
-      co_await pause_.async_wait(no_throw);
-      continue;
-    }
-    const auto message = decode<permit_message>(std::string(buffer_.data(), count));
-    if (message) {
-      handle(*message, sender);
-    } else {
-      state_.log.write("permit_message_refused", {{"host", sender.address().to_string()},
-                                                  {"why", "malformed, or of another version"}});
-    }
+void permit_exchange::receive(const std::string& bytes, const base::address& sender) {
+  if (const auto message = decode<permit_message>(bytes)) {
+    handle(*message, sender);
+  } else {
+    state_.log.write("permit_message_refused",
+                     {{"host", sender.ip}, {"why", "malformed, or of another version"}});
   }
 }
 
