--- a/include/catkintack/choice/isolation_detector.hpp
+++ b/include/catkintack/choice/isolation_detector.hpp
@@ -17,7 +17,10 @@
 class isolation_detector {
  public:
   /// @brief Records that a new connection to an upstream was established.
-  void on_connected() { unreachable_.clear(); }
+  void on_connected() {
+    unreachable_.clear();
+    reaches_some_ = true;
+  }
   /// @brief Records that no connection to an upstream could be established.
   void on_unreachable(const base::upstream_id& id) { unreachable_.insert(id); }
   /// @brief Records the result of trying several upstreams at once. If none is reached, the host is
@@ -32,8 +35,10 @@
   bool suspected(std::size_t known) const;
   /// @brief Whether this host reaches no upstream, or too few, as far as it knows.
   bool isolated() const { return isolated_; }
-  /// @brief Whether an isolated host reached an upstream in the last check.
-  bool reaches_some() const { return reaches_some_; }
+  /// @brief Whether an isolated host seeks an upstream for a call that no other host takes: always
+  /// if it reached one lately, else for one call now and then. A check tries only a few upstreams,
+  /// and may miss the last ones that are left.
+  bool may_search(base::instant now);
   /// @brief Time at which the isolation was found, if isolated().
   base::instant isolated_since() const { return isolated_since_; }
   /// @brief Whether an upstream was unreachable since the last new connection.
@@ -42,7 +47,8 @@
  private:
   std::set<base::upstream_id> unreachable_;
   bool isolated_ = false;
-  bool reaches_some_ = true;
+  bool reaches_some_ = true;  ///< An upstream was reached in the last check, or since.
+  base::instant searched_at_ = base::instant::min();
   base::instant isolated_since_;
 };
 
--- a/src/catkintack/serving/call_runner.cpp
+++ b/src/catkintack/serving/call_runner.cpp
@@ -267,7 +267,7 @@
   if (state.isolation.isolated()) {
     relay_result relayed =
         co_await serve_isolated(state, std::move(executor), std::move(served), progress);
-    if (relayed.taken || !state.isolation.reaches_some()) {
+    if (relayed.taken || !state.isolation.may_search(state.clock())) {
       co_return std::move(relayed.result);
     }
   }
