--- a/include/catkintack/control/crash_reporter.hpp
+++ b/include/catkintack/control/crash_reporter.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <string>
 
 #include "catkintack/base/hooks.hpp"
 #include "catkintack/choice/crash_record.hpp"
@@ -26,6 +27,7 @@
 struct change_result {
   change_outcome outcome = change_outcome::unreachable;
   choice::crash_record entry{};  ///< Revision 0: there is none.
+  std::string detail{};          ///< Why the registry was unreachable, for the log.
 };
 
 /// @brief Changes of crash records in the registry. Each is made only if the entry still has the
@@ -78,6 +80,7 @@
   boost::asio::steady_timer timer_;
   std::deque<choice::crash_record> to_remove_;
   base::instant next_expiry_;
+  std::string last_failure_;  ///< Why the last call failed, for the log.
 };
 
 }  // namespace catkintack::control
--- a/src/catkintack/control/crash_reporter.cpp
+++ b/src/catkintack/control/crash_reporter.cpp
@@ -58,6 +58,7 @@
   state_.metrics.add("registry_calls_total{purpose=\"crash\"}");
   const change_result result = co_await registry_.write(std::move(record));
   if (result.outcome == change_outcome::unreachable) {
+    last_failure_ = result.detail;
     co_return false;
   }
   if (result.entry.revision > 0) {
@@ -75,6 +76,7 @@
   state_.metrics.add("registry_calls_total{purpose=\"crash\"}");
   const change_result result = co_await registry_.remove(std::move(record));
   if (result.outcome == change_outcome::unreachable) {
+    last_failure_ = result.detail;
     co_return false;
   }
   // After a conflict the entry holds newer crashes, which count again.
@@ -102,7 +104,7 @@
     failures = succeeded ? 0 : failures + 1;
     if (!succeeded) {
       if (failures == 1) {
-        state_.log.write("crash_report_failed", {{"why", "the registry did not answer"}});
+        state_.log.write("crash_report_failed", {{"why", last_failure_}});
       }
       const backoff_bounds bounds{.initial = options_.initial_backoff, .max = options_.max_backoff};
       const base::instant until = state_.clock() + retry_backoff(failures, bounds, state_.random);
