--- a/src/catkintack/serving/endless_bytes_test.cpp
+++ b/src/catkintack/serving/endless_bytes_test.cpp
@@ -19,7 +19,9 @@
   std::string repeated;
 
   /// Keeps addresses out of the test names that ctest lists.
-  friend void PrintTo(const endless_case& one, std::ostream* out) { *out << one.name; }
+  friend std::ostream& operator<<(std::ostream& out, const endless_case& one) {
+    return out << one.name;
+  }
 };
 
 class endless_bytes : public testing::TestWithParam<endless_case> {};
