Decode customers, regions of residence, warm-up rates and evacuations

Ruled out: new fields inside the existing messages between hosts. Older builds could not decode them, so that hosts of two builds would lose their feed during an upgrade. The new parts follow the last field of a message, which older builds ignore, and a host whose rules need them leaves older publishers.

--- a/include/catkintack/control/change_batch.hpp
+++ b/include/catkintack/control/change_batch.hpp
@@ -29,13 +29,17 @@
   std::vector<choice::crash_record> crashes{};                ///< Changed entries.
   std::vector<base::request_fingerprint> cleared_requests{};  ///< Their entries were removed.
 
+  std::vector<base::failure_domain_id> evacuations_begun{};
+  std::vector<base::failure_domain_id> evacuations_ended{};
+
   /// @brief Whether the batch holds no change.
   bool empty() const {
-    return !table && !table_delta && announced_table_version == 0 && changed.empty() &&
-           removed.empty() && crashes.empty() && cleared_requests.empty();
+    return evacuations_begun.empty() && evacuations_ended.empty() && !table && !table_delta &&
+           announced_table_version == 0 && changed.empty() && removed.empty() && crashes.empty() &&
+           cleared_requests.empty();
   }
 
-  /// @brief Serializes with cereal.
+  /// @brief Serializes with cereal; the evacuations are part of the batch_extension.
   template <class Archive>
   void serialize(Archive& archive) {
     archive(base_revision, revision, table, table_delta, announced_table_version, changed, removed,
--- a/include/catkintack/control/feed_client.hpp
+++ b/include/catkintack/control/feed_client.hpp
@@ -34,6 +34,8 @@
   /// A detached publisher is kept for this long, as it may be up to date because a host above it
   /// watches the registry for the time being. Then the first subscription tries the seeds again.
   base::duration detached_timeout = std::chrono::seconds(2);
+  /// A publisher of an older build is not used: it drops parts of the configuration.
+  std::uint32_t min_protocol_version = 0;
   base::duration connect_timeout = std::chrono::milliseconds(500);
   base::duration initial_backoff = std::chrono::milliseconds(200);  ///< After one lost publisher.
   base::duration max_backoff = std::chrono::seconds(2);  ///< After several lost in a row.
--- a/include/catkintack/control/feed_message.hpp
+++ b/include/catkintack/control/feed_message.hpp
@@ -12,6 +12,8 @@
 #include "catkintack/control/limit_report.hpp"
 #include "catkintack/control/registry_revision.hpp"
 #include "catkintack/control/registry_snapshot.hpp"
+#include "catkintack/control/trailing_field.hpp"
+#include "catkintack/routes/table_extension.hpp"
 
 namespace catkintack::control {
 
@@ -33,16 +35,72 @@
   }
 };
 
+/// Version of the messages between hosts. Builds without customers, regions of residence and
+/// evacuations send none, which counts as 0.
+inline constexpr std::uint32_t feed_protocol_version = 1;
+
+/// @brief What older builds do not know of a batch of changes.
+struct batch_extension {
+  routes::table_extension table{};  ///< Of the table or of the difference between tables.
+  std::vector<base::failure_domain_id> evacuations_begun{};
+  std::vector<base::failure_domain_id> evacuations_ended{};
+
+  /// @brief Serializes with cereal.
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(table, evacuations_begun, evacuations_ended);
+  }
+};
+
+/// @brief What older builds do not know of a snapshot.
+struct snapshot_extension {
+  routes::table_extension table{};
+  std::vector<base::failure_domain_id> evacuations{};
+
+  /// @brief Serializes with cereal.
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(table, evacuations);
+  }
+};
+
+/// @brief The extensions of one message.
+struct feed_extensions {
+  std::vector<batch_extension> batches{};  ///< In the order of the batches.
+  std::optional<snapshot_extension> snapshot{};
+
+  /// @brief Serializes with cereal.
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(batches, snapshot);
+  }
+};
+
+struct feed_changes;
+/// @brief Extracts the extensions of a message.
+feed_extensions make_extensions(const feed_changes& changes);
+/// @brief Completes a message that was decoded without its extensions.
+void apply_extensions(feed_changes& changes, const feed_extensions& extensions);
+
 /// @brief Changes to the state of a subscriber.
 struct feed_changes {
   std::vector<change_batch> batches{};  ///< Changes since the previous message.
   /// Replaces the batches for a host that is too far behind.
   std::optional<registry_snapshot> snapshot{};
 
-  /// @brief Serializes with cereal.
+  /// @brief Serializes with cereal. The extensions come last, as older builds ignore them.
   template <class Archive>
-  void serialize(Archive& archive) {
+  void save(Archive& archive) const {
+    archive(batches, snapshot, make_extensions(*this));
+  }
+  /// @brief Deserializes with cereal; a message of an older build has no extensions.
+  template <class Archive>
+  void load(Archive& archive) {
     archive(batches, snapshot);
+    feed_extensions extensions;
+    if (load_trailing(archive, extensions)) {
+      apply_extensions(*this, extensions);
+    }
   }
 };
 
@@ -58,10 +116,21 @@
   /// Set if the publisher has no capacity; other hosts to try.
   std::vector<base::address> alternatives{};
 
-  /// @brief Serializes with cereal.
+  /// Version of the publisher's build.
+  std::uint32_t protocol_version = feed_protocol_version;
+
+  /// @brief Serializes with cereal. The version comes last, as older builds ignore it.
   template <class Archive>
-  void serialize(Archive& archive) {
+  void save(Archive& archive) const {
+    archive(hops, age_us, changes, limits, alternatives, protocol_version);
+  }
+  /// @brief Deserializes with cereal.
+  template <class Archive>
+  void load(Archive& archive) {
     archive(hops, age_us, changes, limits, alternatives);
+    if (!load_trailing(archive, protocol_version)) {
+      protocol_version = 0;
+    }
   }
 };
 
--- a/include/catkintack/control/host_settings.hpp
+++ b/include/catkintack/control/host_settings.hpp
@@ -61,6 +61,16 @@
   base::duration max_retry_after = std::chrono::milliseconds(1500);
   /// Time until a draining upstream has no work.
   base::duration drain_timeout = std::chrono::seconds(2);
+  /// Window of the customers' caps over all hosts. 0: the deployment has no customers.
+  base::duration quota_window{};
+  double quota_overshoot = 0;  ///< Fraction by which a cap may be exceeded in a window.
+  double quota_slack = 0;      ///< Calls by which it may be exceeded beyond that.
+  /// Factor and number of calls by which the warm-up rate of an upstream may be exceeded.
+  double warm_up_overshoot = 1;
+  double warm_up_slack = 0;
+  /// Time from the registry's acceptance of an evacuation until it is in force on every host. 0:
+  /// the deployment has no evacuations and no regions of residence.
+  base::duration evacuation_limit{};
   /// From the stop signal until the process is killed.
   base::duration stop_limit = std::chrono::seconds(6);
 };
--- a/include/catkintack/control/registry_replica.hpp
+++ b/include/catkintack/control/registry_replica.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <set>
 #include <string_view>
 #include <vector>
 
@@ -87,6 +88,13 @@
   /// where that is small.
   void apply_routes(change_batch& batch, std::string_view source);
   void apply_crashes(const change_batch& batch);
+  void apply_evacuations(const change_batch& batch, std::string_view source);
+  void replace_evacuations(const std::set<base::failure_domain_id>& listed,
+                           bool restored,
+                           std::string_view source);
+  void log_evacuation(std::string_view event,
+                      const base::failure_domain_id& domain,
+                      std::string_view source);
   void put(const directory::endpoint& upstream, std::string_view source);
   void remove(const base::upstream_id& id, std::string_view source);
   void on_registry_restored(const registry_revision& restored, std::string_view source);
--- a/include/catkintack/control/registry_snapshot.hpp
+++ b/include/catkintack/control/registry_snapshot.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,8 +23,9 @@
   std::uint64_t announced_table_version = 0;
   std::vector<directory::endpoint> upstreams{};
   std::vector<choice::crash_record> crashes{};
+  std::set<base::failure_domain_id> evacuations{};
 
-  /// @brief Serializes with cereal.
+  /// @brief Serializes with cereal; the evacuations are part of the snapshot_extension.
   template <class Archive>
   void serialize(Archive& archive) {
     archive(revision, table, announced_table_version, upstreams, crashes);
--- a/include/catkintack/directory/endpoint_directory.hpp
+++ b/include/catkintack/directory/endpoint_directory.hpp
@@ -67,9 +67,32 @@
   /// @return The ids of the removed entries.
   std::vector<base::upstream_id> expire(base::instant now);
 
+  /// @brief Records that an upstream said how much longer it is warming up.
+  /// @param until End of the warm-up; in the past if it is warm.
+  void set_warm_up_end(const base::upstream_id& id, base::instant until);
+  /// @brief Whether an upstream is warming up.
+  bool is_warming_up(const base::upstream_id& id, base::instant now) const;
+
+  /// @brief Records that the upstreams of a failure domain must get no work.
+  /// @return Whether this is news.
+  bool begin_evacuation(const base::failure_domain_id& domain);
+  /// @brief Records the end of an evacuation.
+  /// @return Whether there was one.
+  bool end_evacuation(const base::failure_domain_id& domain);
+  /// @brief Applies the full list of evacuations.
+  /// @param missing_expire_at When to end evacuations that are not listed; now or earlier to end
+  /// them at once.
+  void replace_evacuations(const std::set<base::failure_domain_id>& listed,
+                           base::instant now,
+                           base::instant missing_expire_at);
+  /// @brief Whether the upstreams of a failure domain must get no work.
+  bool is_evacuated(const base::failure_domain_id& domain, base::instant now) const;
+  /// @brief Returns the evacuated failure domains, without those that await their end.
+  std::set<base::failure_domain_id> evacuations() const;
+
   /// @brief Returns the upstreams of a service that can accept work: those that are not leaving,
-  /// whose grace period, if any, has not ended, and that are not held back as unconfirmed. The
-  /// pointers are valid until the next change.
+  /// whose failure domain is not evacuated, whose grace period, if any, has not ended, and that are
+  /// not held back as unconfirmed. The pointers are valid until the next change.
   std::vector<const known_endpoint*> available(const base::service_id& service,
                                                base::instant now) const;
 
@@ -86,10 +109,13 @@
 
  private:
   bool was_removed(const endpoint& entry) const;
+  bool accepts_work(const known_endpoint& entry, base::instant now) const;
 
   departure_log departures_;
   std::map<base::upstream_id, known_endpoint> entries_;
   std::map<base::service_id, std::set<base::upstream_id>> by_service_;
+  /// Evacuated failure domains, and when the evacuation ends unless it is listed again.
+  std::map<base::failure_domain_id, base::instant> evacuations_;
 };
 
 }  // namespace catkintack::directory
--- a/include/catkintack/routes/route.hpp
+++ b/include/catkintack/routes/route.hpp
@@ -44,10 +44,14 @@
   base::duration latency_objective{};  ///< Time within which a response has its full value.
   std::uint32_t max_attempts = 1;      ///< Number of upstreams that a call may be sent to.
   std::uint32_t priority_rank = 0;     ///< 0 is the highest priority.
+  /// Whether calls need no key. Without customers, no call needs one.
+  bool is_public = false;
+  std::vector<base::region_id> allowed_regions{};  ///< Sorted; empty: all.
 
   bool operator==(const route&) const = default;
 
-  /// @brief Serializes with cereal; durations are encoded in microseconds.
+  /// @brief Serializes with cereal; durations are encoded in microseconds. The last two fields are
+  /// part of the table_extension.
   template <class Archive>
   void serialize(Archive& archive) {
     std::int64_t timeout_us = timeout.count();
--- a/include/catkintack/routes/route_table.hpp
+++ b/include/catkintack/routes/route_table.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "catkintack/base/ids.hpp"
+#include "catkintack/routes/customer_policy.hpp"
 #include "catkintack/routes/request_limits.hpp"
 #include "catkintack/routes/route.hpp"
 #include "catkintack/routes/service_profile.hpp"
@@ -38,7 +39,17 @@
   /// it.
   service_profile profile(const base::service_id& service) const;
 
-  /// @brief Serializes with cereal.
+  /// @brief Returns the customers in no particular order.
+  const std::vector<customer_policy>& customers() const { return customers_; }
+  /// @brief Whether calls need the key of a customer, apart from those on public routes.
+  bool has_customers() const { return !customers_.empty(); }
+  /// @brief Returns a customer, or null. Valid for the lifetime of the table.
+  const customer_policy* find_customer(const base::customer_id& id) const;
+  /// @brief Returns the customer with a key, or null. Valid for the lifetime of the table.
+  /// @param key_hash Result of config::hash_key.
+  const customer_policy* find_customer_by_key(std::string_view key_hash) const;
+
+  /// @brief Serializes with cereal, without the parts in the table_extension.
   template <class Archive>
   void save(Archive& archive) const {
     archive(version_, limits_, routes_, profiles_);
@@ -60,6 +71,9 @@
   std::vector<service_profile> profiles_;
   /// Indices into routes_ by host, longest prefix first.
   std::map<std::string, std::vector<std::size_t>, std::less<>> by_host_;
+  std::vector<customer_policy> customers_;
+  std::map<base::customer_id, std::size_t> customer_by_id_;          ///< Indices into customers_.
+  std::map<std::string, std::size_t, std::less<>> customer_by_key_;  ///< The same, by key hash.
 };
 
 }  // namespace catkintack::routes
--- a/include/catkintack/routes/route_table_builder.hpp
+++ b/include/catkintack/routes/route_table_builder.hpp
@@ -21,6 +21,9 @@
   /// @brief Adds the profile of a service.
   route_table_builder& add(service_profile added);
 
+  /// @brief Adds a customer.
+  route_table_builder& add(customer_policy added);
+
   /// @brief Validates the table.
   /// @return The first error, with the name of the route or service, or nothing if the table is
   /// valid.
--- a/include/catkintack/routes/route_table_delta.hpp
+++ b/include/catkintack/routes/route_table_delta.hpp
@@ -19,8 +19,10 @@
   std::vector<service_profile> profiles{};  ///< All profiles of the later version.
   std::vector<route> changed{};             ///< New routes, and routes that differ.
   std::vector<route_id> removed{};
+  std::vector<customer_policy> changed_customers{};  ///< New ones, and those that differ.
+  std::vector<base::customer_id> removed_customers{};
 
-  /// @brief Serializes with cereal.
+  /// @brief Serializes with cereal; the customers are part of the table_extension.
   template <class Archive>
   void serialize(Archive& archive) {
     archive(base_version, version, limits, profiles, changed, removed);
--- a/include/catkintack/serving/call.hpp
+++ b/include/catkintack/serving/call.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "catkintack/base/ids.hpp"
 #include "catkintack/base/units.hpp"
@@ -37,6 +38,11 @@
   /// Time since the caller's first attempt, estimated from its deadline header; 0 if unknown.
   base::duration elapsed_before_arrival{};
 
+  base::customer_id customer;  ///< Empty if the configuration has no customers.
+  /// Regions whose upstreams may serve the call, by its route and its customer; empty: all.
+  std::vector<base::region_id> allowed_regions;
+  bool allowed_nowhere = false;  ///< No region is allowed by both the route and the customer.
+
   bool relayed = false;  ///< Another host sent the call here on behalf of its caller.
   bool caller_left = false;
   bool response_started = false;  ///< The upstream of the current attempt has begun to answer.
--- a/include/catkintack/serving/upstream_protocol.hpp
+++ b/include/catkintack/serving/upstream_protocol.hpp
@@ -30,6 +30,10 @@
   /// Requests per second that an upstream accepts from all hosts together, a decimal number, for as
   /// long as its responses name it.
   std::string limit = "Catkintack-Limit";
+  /// Names the customer of a call to the upstream.
+  std::string customer = "Catkintack-Customer";
+  /// How much longer an upstream is warming up, in milliseconds; in probe responses.
+  std::string warm_up_left = "Catkintack-Warm-Up-Left-Ms";
   /// Load of the upstream.
   std::string load = "Catkintack-Load";
   /// Parses the load header; returns nullopt for a malformed value.
--- a/src/catkintack/control/feed_client.cpp
+++ b/src/catkintack/control/feed_client.cpp
@@ -178,6 +178,10 @@
     reason = "message of another version";
     co_return false;
   }
+  if (message->protocol_version < options_.min_protocol_version) {
+    reason = "its build does not send customers, regions of residence and evacuations";
+    co_return false;
+  }
   if (!message->alternatives.empty()) {
     slot.referrals = message->alternatives;
     reason = "no room";
--- a/src/catkintack/control/registry_replica.cpp
+++ b/src/catkintack/control/registry_replica.cpp
@@ -98,6 +98,47 @@
   state_.notify_crashes_changed();
 }
 
+void registry_replica::apply_evacuations(const change_batch& batch, std::string_view source) {
+  for (const base::failure_domain_id& domain : batch.evacuations_begun) {
+    if (state_.upstreams.begin_evacuation(domain)) {
+      log_evacuation("evacuation_began", domain, source);
+    }
+  }
+  for (const base::failure_domain_id& domain : batch.evacuations_ended) {
+    if (state_.upstreams.end_evacuation(domain)) {
+      log_evacuation("evacuation_ended", domain, source);
+    }
+  }
+}
+
+void registry_replica::replace_evacuations(const std::set<base::failure_domain_id>& listed,
+                                           bool restored,
+                                           std::string_view source) {
+  const std::set<base::failure_domain_id> before = state_.upstreams.evacuations();
+  const base::instant now = state_.clock();
+  // The operators write again what a restored registry has lost.
+  state_.upstreams.replace_evacuations(listed, now, restored ? now + options_.recovery_grace : now);
+  for (const base::failure_domain_id& domain : listed) {
+    if (!before.contains(domain)) {
+      log_evacuation("evacuation_began", domain, source);
+    }
+  }
+  for (const base::failure_domain_id& domain : before) {
+    if (!listed.contains(domain)) {
+      log_evacuation(restored ? "evacuation_unconfirmed" : "evacuation_ended", domain, source);
+    }
+  }
+}
+
+void registry_replica::log_evacuation(std::string_view event,
+                                      const base::failure_domain_id& domain,
+                                      std::string_view source) {
+  state_.log.write(std::string(event),
+                   {{"failure_domain", domain.value()}, {"source", std::string(source)}});
+  state_.metrics.set("evacuated_failure_domains",
+                     static_cast<double>(state_.upstreams.evacuations().size()));
+}
+
 bool registry_replica::apply(const change_batch& batch, std::string_view source) {
   const bool spans_restore = batch.base_revision.era != batch.revision.era;
   if (spans_restore || batch.base_revision > revision_) {
@@ -118,6 +159,7 @@
     remove(id, source);
   }
   apply_crashes(batch);
+  apply_evacuations(batch, source);
   revision_ = batch.revision;
   changes_.append(std::move(relayed));
   if (!batch.empty()) {
@@ -144,6 +186,7 @@
   // Crash records that a restored registry has lost are reported again.
   state_.crashes.replace_all(snapshot.crashes, restored);
   state_.notify_crashes_changed();
+  replace_evacuations(snapshot.evacuations, restored, source);
   state_.log.write("upstreams_listed", {{"count", snapshot.upstreams.size()},
                                         {"era", snapshot.revision.era.value()},
                                         {"revision", snapshot.revision.number},
@@ -212,6 +255,7 @@
   }
   result.upstreams = state_.upstreams.entries();
   result.crashes = state_.crashes.entries();
+  result.evacuations = state_.upstreams.evacuations();
   return result;
 }
 
--- a/src/catkintack/directory/endpoint_directory.cpp
+++ b/src/catkintack/directory/endpoint_directory.cpp
@@ -9,11 +9,65 @@
 // registry. One that is alive and has nothing new to write gets work after this.
 constexpr base::duration restored_entry_hold = std::chrono::seconds(15);
 
-bool accepts_work(const endpoint_directory::known_endpoint& entry, base::instant now) {
-  return !entry.listed.record.leaving && now < entry.expires_at && now >= entry.unconfirmed_until;
+}  // namespace
+
+bool endpoint_directory::accepts_work(const known_endpoint& entry, base::instant now) const {
+  return !entry.listed.record.leaving && now < entry.expires_at && now >= entry.unconfirmed_until &&
+         !is_evacuated(entry.listed.record.failure_domain, now);
 }
 
-}  // namespace
+void endpoint_directory::set_warm_up_end(const base::upstream_id& id, base::instant until) {
+  const auto found = entries_.find(id);
+  if (found != entries_.end()) {
+    found->second.warm_up_until = until;
+  }
+}
+
+bool endpoint_directory::is_warming_up(const base::upstream_id& id, base::instant now) const {
+  const known_endpoint* const entry = find(id);
+  return entry != nullptr && now < entry->warm_up_until;
+}
+
+bool endpoint_directory::begin_evacuation(const base::failure_domain_id& domain) {
+  const auto [entry, inserted] = evacuations_.try_emplace(domain, base::instant::max());
+  const bool resumed = entry->second != base::instant::max();
+  entry->second = base::instant::max();
+  return inserted || resumed;
+}
+
+bool endpoint_directory::end_evacuation(const base::failure_domain_id& domain) {
+  return evacuations_.erase(domain) > 0;
+}
+
+void endpoint_directory::replace_evacuations(const std::set<base::failure_domain_id>& listed,
+                                             base::instant now,
+                                             base::instant missing_expire_at) {
+  for (auto& [domain, end] : evacuations_) {
+    if (!listed.contains(domain)) {
+      end = std::min(end, missing_expire_at);
+    }
+  }
+  std::erase_if(evacuations_, [now](const auto& entry) { return entry.second <= now; });
+  for (const base::failure_domain_id& domain : listed) {
+    begin_evacuation(domain);
+  }
+}
+
+bool endpoint_directory::is_evacuated(const base::failure_domain_id& domain,
+                                      base::instant now) const {
+  const auto found = evacuations_.find(domain);
+  return found != evacuations_.end() && now < found->second;
+}
+
+std::set<base::failure_domain_id> endpoint_directory::evacuations() const {
+  std::set<base::failure_domain_id> result;
+  for (const auto& [domain, end] : evacuations_) {
+    if (end == base::instant::max()) {
+      result.insert(domain);
+    }
+  }
+  return result;
+}
 
 bool endpoint_directory::upsert(const endpoint& listed, base::instant now) {
   endpoint added = listed;
--- a/src/catkintack/routes/route_table.cpp
+++ b/src/catkintack/routes/route_table.cpp
@@ -48,7 +48,25 @@
   return found == profiles_.end() ? service_profile{.service = service} : *found;
 }
 
+const customer_policy* route_table::find_customer(const base::customer_id& id) const {
+  const auto found = customer_by_id_.find(id);
+  return found == customer_by_id_.end() ? nullptr : &customers_[found->second];
+}
+
+const customer_policy* route_table::find_customer_by_key(std::string_view key_hash) const {
+  const auto found = customer_by_key_.find(key_hash);
+  return found == customer_by_key_.end() ? nullptr : &customers_[found->second];
+}
+
 void route_table::index() {
+  customer_by_id_.clear();
+  customer_by_key_.clear();
+  for (std::size_t i = 0; i < customers_.size(); ++i) {
+    customer_by_id_[customers_[i].id] = i;
+    for (const std::string& key : customers_[i].key_hashes) {
+      customer_by_key_[key] = i;
+    }
+  }
   by_host_.clear();
   for (std::size_t i = 0; i < routes_.size(); ++i) {
     by_host_[normalize_host(routes_[i].host)].push_back(i);
--- a/src/catkintack/routes/route_table_builder.cpp
+++ b/src/catkintack/routes/route_table_builder.cpp
@@ -1,5 +1,7 @@
 #include "catkintack/routes/route_table_builder.hpp"
 
+#include <cmath>
+#include <map>
 #include <set>
 #include <utility>
 
@@ -33,6 +35,30 @@
   return std::nullopt;
 }
 
+std::optional<std::string> find_customer_error(const std::vector<customer_policy>& customers) {
+  std::set<base::customer_id> ids;
+  std::map<std::string, base::customer_id> owners;
+  for (const customer_policy& checked : customers) {
+    const std::string name = "customer \"" + checked.id.value() + "\" ";
+    if (checked.id.value().empty()) {
+      return "a customer has no name";
+    }
+    if (!ids.insert(checked.id).second) {
+      return name + "is listed twice";
+    }
+    if (!std::isfinite(checked.rate_per_second) || checked.rate_per_second < 0) {
+      return name + "has a rate that is not a number of 0 or more";
+    }
+    for (const std::string& key : checked.key_hashes) {
+      const auto [owner, inserted] = owners.emplace(key, checked.id);
+      if (!inserted && owner->second != checked.id) {
+        return name + "has a key of customer \"" + owner->second.value() + "\"";
+      }
+    }
+  }
+  return std::nullopt;
+}
+
 }  // namespace
 
 route_table_builder::route_table_builder(base::list_version version) { table_.version_ = version; }
@@ -52,12 +78,21 @@
   return *this;
 }
 
+route_table_builder& route_table_builder::add(customer_policy added) {
+  table_.customers_.push_back(std::move(added));
+  return *this;
+}
+
 std::optional<std::string> route_table_builder::find_error() const {
   if (table_.version_ == base::list_version()) {
     return "the version is 0";
   }
   std::set<base::service_id> services;
   for (const service_profile& profile : table_.profiles_) {
+    if (!std::isfinite(profile.warm_up_rate) || profile.warm_up_rate < 0) {
+      return "service \"" + profile.service.value() +
+             "\" has a warm-up rate that is not a number of 0 or more";
+    }
     services.insert(profile.service);
   }
   for (const route& checked : table_.routes_) {
@@ -71,7 +106,7 @@
       }
     }
   }
-  return std::nullopt;
+  return find_customer_error(table_.customers());
 }
 
 route_table route_table_builder::build() && {
--- a/src/catkintack/routes/route_table_delta.cpp
+++ b/src/catkintack/routes/route_table_delta.cpp
@@ -49,6 +49,17 @@
       result.removed.push_back(name);
     }
   }
+  for (const customer_policy& one : after.customers()) {
+    const customer_policy* const known = before.find_customer(one.id);
+    if (known == nullptr || *known != one) {
+      result.changed_customers.push_back(one);
+    }
+  }
+  for (const customer_policy& one : before.customers()) {
+    if (after.find_customer(one.id) == nullptr) {
+      result.removed_customers.push_back(one.id);
+    }
+  }
   return result;
 }
 
@@ -74,6 +85,17 @@
   for (const route& one : delta.changed) {
     builder.add(one);
   }
+  std::set<base::customer_id> replaced_customers(delta.removed_customers.begin(),
+                                                 delta.removed_customers.end());
+  for (const customer_policy& one : delta.changed_customers) {
+    replaced_customers.insert(one.id);
+    builder.add(one);
+  }
+  for (const customer_policy& one : before.customers()) {
+    if (!replaced_customers.contains(one.id)) {
+      builder.add(one);
+    }
+  }
   return std::move(builder).build();
 }
 
