Choice: regions of residence, and relay hosts that keep them

Cause: routes and customers may list the regions that may serve a call (docs/regions-and-customers.md, 1.1). An empty list means all regions, an empty intersection none.

Ruled out: a list that stands for both all and none; the version of a host renewed by its successes, as an older build may take over the address.

--- a/include/catkintack/choice/relay_hosts.hpp
+++ b/include/catkintack/choice/relay_hosts.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -13,6 +14,7 @@
 #include "catkintack/base/hooks.hpp"
 #include "catkintack/base/ids.hpp"
 #include "catkintack/base/units.hpp"
+#include "catkintack/choice/residence.hpp"
 
 namespace catkintack::choice {
 
@@ -21,6 +23,7 @@
   bool available = false;  ///< It reaches upstreams and does not stop.
   base::region_id region{};
   base::failure_domain_id failure_domain{};
+  std::uint32_t protocol_version = 0;  ///< Of the host's build; 0 does not enforce residence.
 };
 
 /// @brief Parameters of a table of relay hosts.
@@ -57,19 +60,26 @@
   /// @brief Chooses a host for a call: near ones first, and of two of these the one with less to
   /// do.
   /// @param tried Hosts that are excluded.
+  /// @param allowed Regions that may serve the call. A restricted call needs a host in one of them
+  /// whose build enforces residence by its latest offer; a success does not renew that, as the
+  /// host may have been replaced by one of an older build.
   /// @return Nothing if no host has a valid offer.
   std::optional<base::address> choose(base::instant now,
                                       const std::set<base::address>& tried,
                                       const load_hook& load,
-                                      const base::random_hook& random) const;
+                                      const base::random_hook& random,
+                                      const residence& allowed = {}) const;
   /// @brief Returns hosts to ask for an offer: first those with one, which is renewed, and then
   /// others, asked longest ago first.
   /// @param available Largest number of hosts with an offer.
   /// @param others Largest number of others; none are asked if there are enough with an offer.
+  /// @param regions Regions that restricted calls need. In each of them, as many hosts are renewed
+  /// and sought as without a restriction: the nearest hosts may not take these calls.
   std::vector<base::address> hosts_to_ask(base::instant now,
                                           std::size_t available,
                                           std::size_t others,
-                                          const base::random_hook& random);
+                                          const base::random_hook& random,
+                                          const std::set<base::region_id>& regions = {});
   /// @brief Returns hosts to name to another host, at random.
   std::vector<base::address> some_hosts(std::size_t count, const base::random_hook& random) const;
   /// @brief Number of known hosts.
@@ -78,12 +88,14 @@
  private:
   struct record {
     relay_offer offer;
-    base::instant offered_at = base::instant::min();
+    base::instant offered_at = base::instant::min();  ///< Latest offer or success.
+    base::instant stated_at = base::instant::min();   ///< Latest offer.
     base::instant asked_at = base::instant::min();
     base::instant paused_until = base::instant::min();
   };
 
   bool usable(const record& host, base::instant now) const;
+  bool may_take(const record& host, base::instant now, const residence& allowed) const;
   int distance(const record& host) const;
 
   relay_host_options options_;
--- a/src/catkintack/choice/relay_hosts.cpp
+++ b/src/catkintack/choice/relay_hosts.cpp
@@ -26,6 +26,7 @@
   if (found != hosts_.end()) {
     found->second.offer = offer;
     found->second.offered_at = now;
+    found->second.stated_at = now;
   }
 }
 
@@ -55,6 +56,14 @@
          now >= host.paused_until;
 }
 
+bool relay_hosts::may_take(const record& host, base::instant now, const residence& allowed) const {
+  constexpr std::uint32_t min_version = 1;
+  return usable(host, now) &&
+         (!allowed.restricted() ||
+          (allowed.allows(host.offer.region) && host.offer.protocol_version >= min_version &&
+           now < host.stated_at + options_.offer_lifetime));
+}
+
 int relay_hosts::distance(const record& host) const {
   if (host.offer.region != options_.region) {
     return 2;
@@ -65,11 +74,12 @@
 std::optional<base::address> relay_hosts::choose(base::instant now,
                                                  const std::set<base::address>& tried,
                                                  const load_hook& load,
-                                                 const base::random_hook& random) const {
+                                                 const base::random_hook& random,
+                                                 const residence& allowed) const {
   std::vector<base::address> nearest;
   int nearest_distance = 0;
   for (const auto& [where, host] : hosts_) {
-    if (!usable(host, now) || tried.contains(where)) {
+    if (!may_take(host, now, allowed) || tried.contains(where)) {
       continue;
     }
     const int host_distance = distance(host);
@@ -92,7 +102,8 @@
 std::vector<base::address> relay_hosts::hosts_to_ask(base::instant now,
                                                      std::size_t available,
                                                      std::size_t others,
-                                                     const base::random_hook& random) {
+                                                     const base::random_hook& random,
+                                                     const std::set<base::region_id>& regions) {
   std::vector<base::address> with_offer;
   std::vector<base::address> rest;
   for (const auto& [where, host] : hosts_) {
@@ -101,8 +112,24 @@
   shuffle(with_offer, random);
   shuffle(rest, random);
   std::ranges::stable_sort(rest, {}, [&](const auto& host) { return hosts_.at(host).asked_at; });
-  const bool enough = with_offer.size() >= available;
-  with_offer.resize(std::min(with_offer.size(), available));
+  bool enough = with_offer.size() >= available;
+  std::vector<base::address> renewed(
+      with_offer.begin(),
+      with_offer.begin() + static_cast<std::ptrdiff_t>(std::min(with_offer.size(), available)));
+  for (const base::region_id& region : regions) {
+    const residence allowed = residence::of({region});
+    std::size_t count = 0;
+    for (const base::address& host : with_offer) {
+      if (count < available && may_take(hosts_.at(host), now, allowed)) {
+        ++count;
+        if (std::ranges::find(renewed, host) == renewed.end()) {
+          renewed.push_back(host);
+        }
+      }
+    }
+    enough = enough && count >= available;
+  }
+  with_offer = std::move(renewed);
   rest.resize(enough ? 0 : std::min(rest.size(), others));
   with_offer.insert(with_offer.end(), rest.begin(), rest.end());
   for (const base::address& host : with_offer) {
--- a/src/catkintack/choice/relay_hosts_test.cpp
+++ b/src/catkintack/choice/relay_hosts_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace catkintack::choice {
 namespace {
 
@@ -98,5 +100,58 @@
   EXPECT_EQ(small.size(), 2U);
 }
 
+relay_offer enforcing_offer(const char* region) {
+  relay_offer result = offer(region, "any");
+  result.protocol_version = 1;
+  return result;
+}
+
+const residence west_only = residence::of({base::region_id("west")});
+
+// Guards against a host of an older build, which would serve the call in any region.
+TEST_F(relay_hosts_fixture, restricted_call_needs_a_host_that_enforces_residence) {
+  const auto choose_west = [&](base::instant now) {
+    return table.choose(
+        now, {}, [](const auto&) { return 0U; }, random, west_only);
+  };
+  EXPECT_FALSE(choose_west(start));
+  table.on_offer(far, enforcing_offer("west"), start);
+  EXPECT_EQ(choose_west(start), far);
+  table.on_offer(far, offer("west", "three"), start);
+  EXPECT_FALSE(choose_west(start));
+}
+
+// Guards against a host that was replaced by one of an older build at the same address, whose
+// answers would keep the version of the former one valid.
+TEST_F(relay_hosts_fixture, success_does_not_renew_the_version_of_a_host) {
+  table.on_offer(far, enforcing_offer("west"), start);
+  const base::instant later = start + std::chrono::milliseconds(1400);
+  table.on_success(far, later);
+  const base::instant after_offer = later + std::chrono::milliseconds(200);
+  EXPECT_EQ(choose(after_offer), far);
+  EXPECT_FALSE(table.choose(
+      after_offer, {}, [](const auto&) { return 0U; }, random, west_only));
+}
+
+// Guards against a lookup that ends once nearby hosts offered, although none may take the calls
+// that are restricted to another region.
+TEST_F(relay_hosts_fixture, hosts_are_sought_in_each_restricted_region) {
+  relay_hosts known{{.region = base::region_id("east")}};
+  for (int i = 1; i <= 6; ++i) {
+    known.on_offer({"10.0.1." + std::to_string(i), 7}, enforcing_offer("east"), start);
+  }
+  known.add(far);
+  const std::set<base::region_id> wanted{base::region_id("west")};
+  const auto contains_far = [](const std::vector<base::address>& asked) {
+    return std::ranges::find(asked, far) != asked.end();
+  };
+  EXPECT_FALSE(contains_far(known.hosts_to_ask(start, 4, 8, random)));
+  EXPECT_TRUE(contains_far(known.hosts_to_ask(start, 4, 8, random, wanted)));
+  known.on_offer(far, enforcing_offer("west"), start);
+  for (int round = 0; round < 20; ++round) {
+    EXPECT_TRUE(contains_far(known.hosts_to_ask(start, 4, 8, random, wanted)));
+  }
+}
+
 }  // namespace
 }  // namespace catkintack::choice
