Serve restricted calls only from allowed regions

Cause: calls may be restricted to regions by their route and customer (docs/regions-and-customers.md, 1.1 and 1.7); selection, resends and relays ignored it.

Change: admission sets the regions of a call from its route, its customer and, for relayed calls, the internal header. Selection, permits and pauses consider allowed upstreams only, in each attempt. Calls that no region may serve, or for which no allowed upstream is known, get 503 at once. Relays go to hosts in allowed regions whose build enforces residence, and state the regions outside the forwarded headers, which a caller's Connection header can thin out.

Ruled out: the allowed regions as the far scope, where calls would first be held for their own region and refused by the byte budget.

--- a/include/catkintack/control/relay_lookup.hpp
+++ b/include/catkintack/control/relay_lookup.hpp
@@ -7,14 +7,21 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <set>
+#include <string>
 #include <vector>
 
 #include "catkintack/base/address.hpp"
 #include "catkintack/control/datagram_channel.hpp"
+#include "catkintack/control/trailing_field.hpp"
 #include "catkintack/serving/traffic_state.hpp"
 
 namespace catkintack::control {
 
+/// Version of the lookup's datagrams; hosts of version 1 or higher enforce the regions of residence
+/// of relayed calls.
+inline constexpr std::uint32_t relay_protocol_version = 1;
+
 /// @brief A datagram of the lookup.
 struct relay_message {
   bool is_query = false;
@@ -22,11 +29,21 @@
   base::region_id region{};                  ///< Of the sender.
   base::failure_domain_id failure_domain{};  ///< Of the sender.
   std::vector<std::string> other_hosts{};    ///< Of an answer: IPs of further hosts to ask.
+  /// Of the sender's build; 0 if the message came without it.
+  std::uint32_t protocol_version = relay_protocol_version;
 
-  /// @brief Serializes with cereal.
+  /// @brief Serializes with cereal. The version comes last, as older builds ignore it.
+  template <class Archive>
+  void save(Archive& archive) const {
+    archive(is_query, available, region, failure_domain, other_hosts, protocol_version);
+  }
+  /// @brief Deserializes with cereal.
   template <class Archive>
-  void serialize(Archive& archive) {
+  void load(Archive& archive) {
     archive(is_query, available, region, failure_domain, other_hosts);
+    if (!load_trailing(archive, protocol_version)) {
+      protocol_version = 0;
+    }
   }
 };
 
@@ -68,6 +85,8 @@
   void handle(const std::string& bytes, const base::address& sender);
   void add(const std::string& ip);
   relay_message describe_self() const;
+  /// @brief Returns the regions to which the configuration restricts some calls.
+  std::set<base::region_id> restricted_regions() const;
 
   serving::traffic_state& state_;
   relay_lookup_options options_;
--- a/include/catkintack/serving/call.hpp
+++ b/include/catkintack/serving/call.hpp
@@ -43,6 +43,9 @@
   std::vector<base::region_id> allowed_regions;
   bool allowed_nowhere = false;  ///< No region is allowed by both the route and the customer.
 
+  /// Value of relay_regions_header while the call is being sent to another host; otherwise empty.
+  std::string relay_regions;
+
   bool relayed = false;  ///< Another host sent the call here on behalf of its caller.
   bool caller_left = false;
   bool response_started = false;  ///< The upstream of the current attempt has begun to answer.
--- a/include/catkintack/serving/upstream_selection.hpp
+++ b/include/catkintack/serving/upstream_selection.hpp
@@ -21,6 +21,7 @@
   choice::placement decision;    ///< The last placement decision.
   std::string considered;        ///< Candidates and their readings, for the log.
   unsigned rounds = 0;           ///< Number of probe rounds.
+  std::string refusal;           ///< Why the call is refused, if a specific reason is known.
 };
 
 /// @brief Probes upstreams and holds the call until it can be sent or is refused.
--- a/src/catkintack/control/relay_lookup.cpp
+++ b/src/catkintack/control/relay_lookup.cpp
@@ -45,13 +45,27 @@
   relay_message query = describe_self();
   query.is_query = true;
   const std::string bytes = encode(query);
-  for (const base::address& host : state_.relays.hosts_to_ask(
-           state_.clock(), options_.renewed_offers, options_.new_hosts, state_.random)) {
+  for (const base::address& host :
+       state_.relays.hosts_to_ask(state_.clock(), options_.renewed_offers, options_.new_hosts,
+                                  state_.random, restricted_regions())) {
     state_.metrics.add("relay_queries_total");
     channel_.send(bytes, host);
   }
 }
 
+std::set<base::region_id> relay_lookup::restricted_regions() const {
+  std::set<base::region_id> result;
+  if (state_.table) {
+    for (const routes::route& one : state_.table->routes()) {
+      result.insert(one.allowed_regions.begin(), one.allowed_regions.end());
+    }
+    for (const routes::customer_policy& one : state_.table->customers()) {
+      result.insert(one.allowed_regions.begin(), one.allowed_regions.end());
+    }
+  }
+  return result;
+}
+
 relay_message relay_lookup::describe_self() const {
   return {.available = state_.can_relay(),
           .region = state_.options.region,
@@ -69,7 +83,8 @@
     state_.relays.on_offer(sender,
                            {.available = message->available,
                             .region = message->region,
-                            .failure_domain = message->failure_domain},
+                            .failure_domain = message->failure_domain,
+                            .protocol_version = message->protocol_version},
                            state_.clock());
     for (const std::string& ip : message->other_hosts) {
       add(ip);
--- a/src/catkintack/control/relay_lookup_test.cpp
+++ b/src/catkintack/control/relay_lookup_test.cpp
@@ -153,6 +153,56 @@
   EXPECT_TRUE(fleet.run_until([&] { return fleet.hosts[0]->has_relay(); }));
 }
 
+/// @brief The fields of a message that builds without residence know.
+struct older_relay_message {
+  bool is_query = false;
+  bool available = false;
+  base::region_id region{};
+  base::failure_domain_id failure_domain{};
+  std::vector<std::string> other_hosts{};
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(is_query, available, region, failure_domain, other_hosts);
+  }
+};
+
+// Guards against an older build that takes messages for malformed, or that counts as a new one.
+TEST(relay_lookup, messages_pass_between_old_and_new_builds) {
+  const older_relay_message old{.available = true, .region = base::region_id("west")};
+  const auto received = decode<relay_message>(encode(old));
+  ASSERT_TRUE(received);
+  EXPECT_EQ(received->region, old.region);
+  EXPECT_EQ(received->protocol_version, 0U);
+  const relay_message current{.available = true, .other_hosts = {"10.0.0.1"}};
+  const auto received_by_old = decode<older_relay_message>(encode(current));
+  ASSERT_TRUE(received_by_old);
+  EXPECT_EQ(received_by_old->other_hosts, current.other_hosts);
+  EXPECT_EQ(decode<relay_message>(encode(current))->protocol_version, relay_protocol_version);
+}
+
+// Guards against a lookup that ends with the offers of nearby hosts, while the configuration
+// restricts calls to a region where no host is known yet.
+TEST(relay_lookup, host_in_a_restricted_region_is_found_behind_nearer_ones) {
+  lookup_fleet fleet(17, 1);
+  const base::region_id west("west");
+  routes::route restricted{.name = routes::route_id("r"),
+                           .host = "a.example",
+                           .prefix = "/",
+                           .services = {{base::service_id("s"), 1}},
+                           .allowed_regions = {west}};
+  lookup_host& asking = *fleet.hosts[5];
+  asking.state.table = std::make_shared<const routes::route_table>(
+      std::move(routes::route_table_builder(base::list_version(1)).add(restricted)).build());
+  fleet.hosts[16]->state.options.region = west;
+  asking.isolate();
+  EXPECT_TRUE(fleet.run_until([&] {
+    return asking.state.relays.choose(
+               asking.state.clock(), {}, [](const auto&) { return 0U; }, asking.state.random,
+               choice::residence::of({west})) == fleet.hosts[16]->address;
+  }));
+}
+
 TEST(relay_lookup, malformed_datagrams_and_odd_addresses_are_ignored) {
   lookup_fleet fleet(3, 1);
   lookup_host& host = *fleet.hosts[0];
--- a/src/catkintack/serving/call_runner.cpp
+++ b/src/catkintack/serving/call_runner.cpp
@@ -72,7 +72,8 @@
                     const call& served,
                     const call_progress& progress,
                     base::duration retry_after,
-                    const call_diagnostics& diagnostics) {
+                    const call_diagnostics& diagnostics,
+                    std::string reason = {}) {
   call_result result;
   result.diagnostics = diagnostics;
   if (served.caller_left) {
@@ -82,8 +83,11 @@
     result.local = make_local_response(state, served, status::bad_gateway,
                                        "no whole answer from an upstream\n");
   } else {
-    result.local = make_local_response(state, served, status::unavailable,
-                                       "not run: no upstream can serve it now\n", retry_after);
+    if (reason.empty()) {
+      reason = "not run: no upstream can serve it now\n";
+    }
+    result.local =
+        make_local_response(state, served, status::unavailable, std::move(reason), retry_after);
   }
   return result;
 }
@@ -275,21 +279,23 @@
 }
 
 /// @brief The result of a call for which no upstream was found.
-/// @param pause Time until one may be found; 0 if unknown.
+/// @param decided The decision that refuses the call; its pause is 0 if the time until an upstream
+/// may be found is unknown.
 asio::awaitable<call_result> settle_without_upstream(traffic_state& state,
                                                      asio::any_io_executor executor,
                                                      std::shared_ptr<call> served,
                                                      const call_progress& progress,
                                                      call_diagnostics diagnostics,
-                                                     base::duration pause) {
+                                                     const upstream_selection& decided) {
   if (state.isolation.isolated() && !served->caller_left) {
     relay_result relayed =
         co_await serve_isolated(state, std::move(executor), std::move(served), progress);
     co_return std::move(relayed.result);
   }
+  const base::duration pause = decided.decision.pause;
   const base::duration retry_after =
       pause > base::duration::zero() ? pause : state.options.placement.min_retry_after;
-  co_return give_up(state, *served, progress, retry_after, diagnostics);
+  co_return give_up(state, *served, progress, retry_after, diagnostics, decided.refusal);
 }
 
 /// @brief Whether the call is over, however its caller fares.
@@ -341,7 +347,7 @@
     diagnostics.considered = selection.considered;
     if (!selection.connection || served->caller_left) {
       co_return co_await settle_without_upstream(state, executor, served, progress, diagnostics,
-                                                 selection.decision.pause);
+                                                 selection);
     }
     if (state.crashes.is_quarantined(served->fingerprint)) {
       // The verdict came while the call was held.
--- a/src/catkintack/serving/caller_session.cpp
+++ b/src/catkintack/serving/caller_session.cpp
@@ -8,6 +8,7 @@
 #include <charconv>
 #include <utility>
 
+#include "catkintack/serving/call_residence.hpp"
 #include "catkintack/serving/call_runner.hpp"
 #include "catkintack/serving/crash_check.hpp"
 #include "catkintack/serving/request_fingerprint.hpp"
@@ -178,6 +179,14 @@
   if (const auto length = parser.content_length()) {
     admitted->body_length = *length;
   }
+  restrict_to_regions(
+      *admitted, admitted->table->find_customer(admitted->customer),
+      admitted->relayed ? read_relay_regions(admitted->headers) : choice::residence());
+  if (auto refusal = refuse_by_residence(state_, *admitted)) {
+    state_.metrics.add("residence_refusals_total{reason=\"admission\"}");
+    co_await refuse(std::move(*refusal));
+    co_return nullptr;
+  }
   co_return admitted;
 }
 
--- a/src/catkintack/serving/exchange.cpp
+++ b/src/catkintack/serving/exchange.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <utility>
 
+#include "catkintack/serving/call_residence.hpp"
 #include "catkintack/serving/http_message.hpp"
 #include "catkintack/serving/status.hpp"
 
@@ -23,7 +24,11 @@
                          base::duration time_left) {
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(time_left);
   head_writer head = head_writer::request(sent.method, sent.target);
-  head.add_forwarded(sent.headers, {protocol.time_left, protocol.expected_upstream, "Expect"});
+  head.add_forwarded(sent.headers, {protocol.time_left, protocol.expected_upstream,
+                                    relay_regions_header, "Expect"});
+  if (!sent.relay_regions.empty()) {
+    head.add(relay_regions_header, sent.relay_regions);
+  }
   head.add(protocol.time_left, std::to_string(std::max<std::int64_t>(left.count(), 1)));
   head.add(protocol.expected_upstream, connection.upstream.value());
   if (sent.has_body) {
--- a/src/catkintack/serving/relay_call.cpp
+++ b/src/catkintack/serving/relay_call.cpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <utility>
 
+#include "catkintack/serving/call_residence.hpp"
 #include "catkintack/serving/exchange.hpp"
 #include "catkintack/serving/status.hpp"
 #include "catkintack/serving/upstream_connection.hpp"
@@ -46,12 +47,15 @@
       : state_(state),
         executor_(std::move(executor)),
         served_(std::move(served)),
-        may_have_run_(may_have_run) {}
+        may_have_run_(may_have_run),
+        allowed_(residence_of(*served_)),
+        allowed_text_(format_relay_regions(allowed_)) {}
 
   asio::awaitable<call_result> run() {
     // The part of a streamed body that a host has consumed cannot be sent again.
     const int max_hosts = served_->read_more_body ? 1 : max_hosts_per_call;
-    for (int left = max_hosts; left > 0 && !served_->caller_left; --left) {
+    // A call whose regions cannot be stated to another host is not relayed.
+    for (int left = allowed_text_ ? max_hosts : 0; left > 0 && !served_->caller_left; --left) {
       const auto host = co_await choose_host();
       if (!host) {
         break;
@@ -70,7 +74,15 @@
     }
     if (!served_->caller_left) {
       not_taken_ = true;
-      refuse("not run: this host reaches no upstream\n", retry_after_no_host);
+      if (allowed_.restricted()) {
+        state_.metrics.add("residence_refusals_total{reason=\"no_host\"}");
+        state_.log.write("no_allowed_relay_host",
+                         {{"request", served_->id}, {"regions", describe(allowed_)}});
+      }
+      refuse(allowed_.restricted() ? "not run: this host reaches no upstream, and no host in a "
+                                     "region that may serve it takes it\n"
+                                   : "not run: this host reaches no upstream\n",
+             retry_after_no_host);
     }
     co_return std::move(result_);
   }
@@ -86,7 +98,7 @@
     const base::instant until = state_.isolation.isolated_since() + max_wait_for_offer;
     asio::steady_timer timer(executor_);
     for (;;) {
-      auto host = state_.relays.choose(state_.clock(), tried_, load, state_.random);
+      auto host = state_.relays.choose(state_.clock(), tried_, load, state_.random, allowed_);
       if (host || !tried_.empty() || state_.clock() >= until || served_->caller_left) {
         co_return host;
       }
@@ -113,9 +125,11 @@
     ++result_.diagnostics.attempts;
     constexpr std::size_t max_buffered_response = 64U << 10U;
     state_.in_flight.begin(id, started_at);
+    served_->relay_regions = *allowed_text_;
     exchange_result attempt =
         co_await exchange(std::move(connection), *served_, state_.options.protocol,
                           served_->deadline - started_at, max_buffered_response);
+    served_->relay_regions.clear();
     state_.in_flight.end(id, started_at);
     log(host, attempt.detail.empty() ? to_text(attempt.outcome) : attempt.detail);
     state_.metrics.add("relayed_calls_total{outcome=\"" + std::string(to_text(attempt.outcome)) +
@@ -188,6 +202,8 @@
   asio::any_io_executor executor_;
   std::shared_ptr<call> served_;
   bool may_have_run_;
+  choice::residence allowed_;
+  std::optional<std::string> allowed_text_;
   std::set<base::address> tried_;
   call_result result_;
   bool not_taken_ = false;
--- a/src/catkintack/serving/upstream_selection.cpp
+++ b/src/catkintack/serving/upstream_selection.cpp
@@ -4,7 +4,9 @@
 #include <utility>
 
 #include "catkintack/choice/probe_selection.hpp"
+#include "catkintack/choice/search_area.hpp"
 #include "catkintack/choice/upstream_subset.hpp"
+#include "catkintack/serving/call_residence.hpp"
 #include "catkintack/serving/open_connection.hpp"
 #include "catkintack/serving/probe_round.hpp"
 
@@ -12,11 +14,16 @@
 namespace {
 
 using choice::candidate;
+using choice::search_area;
+using choice::search_place;
 using choice::search_scope;
 using choice::upstream_distance;
 
 // Request and response of a probe, with headers.
 constexpr std::uint64_t bytes_per_probe = 350;
+// Least Retry-After of a call without any allowed upstream. A change in the registry takes effect
+// within about this time.
+constexpr base::duration retry_after_no_upstream = std::chrono::seconds(1);
 
 upstream_distance distance_to(const routing::upstream_record& record,
                               const serving_options& options) {
@@ -27,17 +34,37 @@
                                                          : upstream_distance::same_region;
 }
 
-/// @brief Lists candidates, still without readings, of this region or of the other regions.
+/// @brief Whether upstreams of a service may serve a call.
+struct allowed_upstreams {
+  bool any = false;
+  bool in_own_region = false;
+};
+
+allowed_upstreams find_allowed_upstreams(const traffic_state& state,
+                                         const base::service_id& service,
+                                         const choice::residence& allowed) {
+  allowed_upstreams result;
+  for (const auto* const endpoint : state.upstreams.available(service, state.clock())) {
+    const base::region_id& region = endpoint->listed.record.region;
+    const bool is_allowed = allowed.allows(region);
+    result.any = result.any || is_allowed;
+    result.in_own_region = result.in_own_region || (is_allowed && region == state.options.region);
+  }
+  return result;
+}
+
+/// @brief Lists candidates, still without readings, of one part of the search area.
 std::vector<candidate> list_candidates(const traffic_state& state,
                                        const base::service_id& service,
                                        const std::set<base::upstream_id>& tried,
-                                       bool other_regions) {
+                                       const search_area& area,
+                                       search_place place) {
   std::vector<candidate> result;
   const base::instant now = state.clock();
   for (const auto* const endpoint : state.upstreams.available(service, now)) {
     const routing::upstream_record& record = endpoint->listed.record;
     const upstream_distance where = distance_to(record, state.options);
-    if ((where == upstream_distance::other_region) != other_regions || tried.contains(record.id) ||
+    if (area.place_of(record.region) != place || tried.contains(record.id) ||
         state.pauses.end_of(record.id, now) || !state.within_limit(record.id)) {
       continue;
     }
@@ -51,9 +78,11 @@
 }
 
 /// @brief Requests permits for the upstreams of a service that named a limit.
-/// @param whole_region False for those in this host's own failure domain only.
+/// @param whole_region False for those in this host's own failure domain only; otherwise for all
+/// near ones.
 void request_permits(const traffic_state& state,
                      const base::service_id& service,
+                     const search_area& area,
                      bool whole_region) {
   if (state.upstream_limits.empty() || !state.request_permit) {
     return;
@@ -65,8 +94,8 @@
     const routing::upstream_record& record = endpoint->listed.record;
     const upstream_distance where = distance_to(record, state.options);
     if (!state.within_limit(record.id) && !state.pauses.end_of(record.id, now) &&
-        (where == upstream_distance::same_failure_domain ||
-         (whole_region && where == upstream_distance::same_region))) {
+        area.place_of(record.region) == search_place::near &&
+        (whole_region || where == upstream_distance::same_failure_domain)) {
       limited.push_back(record.id);
     }
   }
@@ -74,12 +103,16 @@
 }
 
 /// @brief Returns the time until the first upstream of a service that is paused or at its limit may
-/// accept requests again, or nothing if there is none.
+/// accept requests again, or nothing if there is none. Excluded upstreams do not count.
 std::optional<base::duration> time_until_resumed(const traffic_state& state,
-                                                 const base::service_id& service) {
+                                                 const base::service_id& service,
+                                                 const search_area& area) {
   const base::instant now = state.clock();
   std::optional<base::duration> result;
   for (const auto* const endpoint : state.upstreams.available(service, now)) {
+    if (area.place_of(endpoint->listed.record.region) == search_place::excluded) {
+      continue;
+    }
     if (const auto end = state.pauses.end_of(endpoint->listed.record.id, now)) {
       result = std::min(result.value_or(*end - now), *end - now);
     } else if (!state.within_limit(endpoint->listed.record.id)) {
@@ -171,31 +204,40 @@
         service_(std::move(service)),
         tried_(tried),
         started_at_(state.clock()),
+        allowed_(residence_of(served)),
+        area_(state.options.region, allowed_, true),
         probes_lack_load_(state.probes_without_load.contains(service_)),
         health_path_(served.table->profile(service_).health_path) {}
 
-  /// @brief Probes this region, and the other regions if the decision asks for it.
+  /// @brief Probes this region, and the other regions if the decision asks for it. For a call
+  /// without an allowed upstream in this region, the allowed regions count as this one.
   asio::awaitable<void> run() {
     round_ = std::make_shared<probe_round>(state_, executor_);
     local_candidates_.clear();
-    request_permits(state_, service_, false);
-    auto in_region = list_candidates(state_, service_, tried_, false);
+    if (!find_area()) {
+      refuse_without_upstream();
+      co_return;
+    }
+    request_permits(state_, service_, area_, false);
+    auto in_region = list_candidates(state_, service_, tried_, area_, search_place::near);
     auto region =
         choice::select_subset(std::move(in_region), state_.options.host, state_.options.neighbours);
     const bool split = !region.secondary.empty();
-    co_await probe_and_place(std::move(region.primary),
-                             split ? search_scope::subset : search_scope::region);
+    // Nothing wider follows if the search began with all allowed regions.
+    const search_scope whole =
+        area_.own_region_replaced() ? search_scope::everywhere : search_scope::region;
+    co_await probe_and_place(std::move(region.primary), split ? search_scope::subset : whole);
     if (split && should_widen()) {
-      co_await probe_and_place(std::move(region.secondary), search_scope::region);
+      co_await probe_and_place(std::move(region.secondary), whole);
     }
     if (should_widen()) {
-      auto remote = list_candidates(state_, service_, tried_, true);
+      auto remote = list_candidates(state_, service_, tried_, area_, search_place::far);
       co_await probe_and_place(std::move(remote), search_scope::everywhere);
     }
     if (result.decision.action != choice::placement_action::send) {
-      request_permits(state_, service_, true);
+      request_permits(state_, service_, area_, true);
     }
-    const auto resumed_in = time_until_resumed(state_, service_);
+    const auto resumed_in = time_until_resumed(state_, service_, area_);
     if (result.decision.action != choice::placement_action::send && resumed_in &&
         probed_candidates().empty()) {
       result.decision = choice::place_paused_call(
@@ -210,7 +252,9 @@
     result.upstream = result.decision.target.value_or(base::upstream_id());
     const auto chosen = std::ranges::find(probed_candidates(), result.upstream, &candidate::id);
     result.reading = chosen->probe.value_or(choice::probe_result{});
-    if (chosen->distance == upstream_distance::other_region) {
+    if (area_.own_region_replaced()) {
+      state_.metrics.add("sends_without_allowed_upstream_in_own_region_total");
+    } else if (chosen->distance == upstream_distance::other_region) {
       state_.remote_bytes.spend(
           state_.route_statistics.exchanged_bytes(served_.route->name.value()), state_.clock());
     }
@@ -220,9 +264,10 @@
       result.connection = co_await connect_to(state_, executor_, result.upstream);
     }
     if (result.connection &&
-        (!state_.accepts_requests(result.upstream) || !state_.take_permit(result.upstream))) {
+        (!is_allowed(result.upstream) || !state_.accepts_requests(result.upstream) ||
+         !state_.take_permit(result.upstream))) {
       // The upstream announced a pause, a limit or its departure while the connection was being
-      // opened, or another call used up the permit.
+      // opened, was listed in another region, or another call used up the permit.
       state_.pool.release(std::move(result.connection), state_.clock());
     }
   }
@@ -233,6 +278,37 @@
   upstream_selection result;
 
  private:
+  /// @brief Determines where upstreams are searched.
+  /// @return False if the call is restricted and no upstream may serve it.
+  bool find_area() {
+    if (!allowed_.restricted()) {
+      return true;
+    }
+    const allowed_upstreams found = find_allowed_upstreams(state_, service_, allowed_);
+    area_ = search_area(state_.options.region, allowed_, found.in_own_region);
+    return found.any;
+  }
+
+  void refuse_without_upstream() {
+    const auto jitter = static_cast<std::uint64_t>(retry_after_no_upstream.count());
+    result.decision = {};
+    result.decision.action = choice::placement_action::refuse;
+    result.decision.pause =
+        retry_after_no_upstream +
+        base::duration(static_cast<base::duration::rep>(state_.random() % (jitter + 1)));
+    result.refusal = "not run: no upstream is known in a region that may serve it\n";
+    state_.metrics.add("residence_refusals_total{reason=\"no_upstream\"}");
+    state_.log.write(
+        "no_allowed_upstream",
+        {{"request", served_.id}, {"service", service_.value()}, {"regions", describe(allowed_)}});
+  }
+
+  bool is_allowed(const base::upstream_id& id) const {
+    const auto* const endpoint = state_.upstreams.find(id);
+    return !allowed_.restricted() ||
+           (endpoint != nullptr && allowed_.allows(endpoint->listed.record.region));
+  }
+
   const std::vector<candidate>& probed_candidates() const {
     return probes_lack_load_ ? local_candidates_ : round_->candidates();
   }
@@ -242,16 +318,17 @@
   }
 
   asio::awaitable<void> probe_and_place(std::vector<candidate> candidates, search_scope scope) {
-    const bool other_regions = scope == search_scope::everywhere;
+    const bool far = scope == search_scope::everywhere && !area_.own_region_replaced();
     if (probes_lack_load_) {
       set_local_readings(state_, candidates);
       local_candidates_.insert(local_candidates_.end(), candidates.begin(), candidates.end());
     } else {
       ++result.rounds;
-      const std::size_t count =
-          other_regions ? state_.options.remote_probes_per_call : state_.options.probes_per_call;
+      const std::size_t count = far || area_.own_region_replaced()
+                                    ? state_.options.remote_probes_per_call
+                                    : state_.options.probes_per_call;
       auto planned = choice::select_probe_targets(std::move(candidates), count, state_.random);
-      if (other_regions) {
+      if (far) {
         state_.remote_bytes.spend(planned.size() * bytes_per_probe, state_.clock());
       }
       co_await round_->run(std::move(planned), health_path_);
@@ -268,6 +345,8 @@
   base::service_id service_;
   const std::set<base::upstream_id>& tried_;
   base::instant started_at_;
+  choice::residence allowed_;
+  search_area area_;
   /// Whether the service's probes carry no load, so that this host's own counts are used instead.
   bool probes_lack_load_;
   std::string health_path_;
