--- a/include/catkintack/choice/send_permits.hpp
+++ b/include/catkintack/choice/send_permits.hpp
@@ -12,6 +12,7 @@
 #include "catkintack/base/ids.hpp"
 #include "catkintack/base/request_rate.hpp"
 #include "catkintack/base/units.hpp"
+#include "catkintack/choice/warm_up_limits.hpp"
 
 namespace catkintack::choice {
 
@@ -23,6 +24,9 @@
   base::duration silent_pause = std::chrono::seconds(1);
   /// How long after its start a permit may be used. Its authority counts on use near the start.
   base::duration validity = std::chrono::seconds(1);
+  /// The same for a permit to a cold upstream, whose bound holds in any window of 1 s. With a
+  /// validity V and a rate L, at most (1 + V) L + 3 sends of three authorities fall into a second.
+  base::duration warm_up_validity = std::chrono::milliseconds(500);
   /// Longest random addition to the time after which an authority is asked again, so that hosts do
   /// not ask in step.
   base::duration max_jitter = std::chrono::milliseconds(400);
@@ -39,10 +43,16 @@
   send_permits(permit_options options, base::random_hook random);
 
   /// @brief Whether a permit for an upstream can be used now.
-  bool usable(const base::upstream_id& id, base::instant now) const;
+  /// @param cause Cause of the limit now. A permit requested while the upstream was not known to
+  /// be cold cannot be used once it is: it was given out at a higher rate.
+  bool usable(const base::upstream_id& id,
+              base::instant now,
+              limit_cause cause = limit_cause::named) const;
   /// @brief Uses up the permit for an upstream.
   /// @return False if there is none.
-  bool take(const base::upstream_id& id, base::instant now);
+  bool take(const base::upstream_id& id,
+            base::instant now,
+            limit_cause cause = limit_cause::named);
   /// @brief Returns when an upstream may next be sent to, at the earliest: the start of the permit,
   /// or the time of the next answer or question.
   base::instant next_chance(const base::upstream_id& id, base::instant now) const;
@@ -52,7 +62,8 @@
   /// @param limit The limit of the upstream.
   std::optional<std::size_t> ask(const base::upstream_id& id,
                                  base::request_rate limit,
-                                 base::instant now);
+                                 base::instant now,
+                                 limit_cause cause = limit_cause::named);
   /// @brief Records a granted permit.
   /// @param asked_at Identifies the question; an answer to another one is ignored, so that a
   /// repeated answer grants nothing.
@@ -71,6 +82,8 @@
                   base::duration wait);
   /// @brief Removes the record of an upstream that has no limit or no longer exists.
   void forget(const base::upstream_id& id) { records_.erase(id); }
+  /// @brief Returns the upstreams for which permits were requested because they were cold.
+  std::vector<base::upstream_id> requested_for_warm_up() const;
 
  private:
   struct question {
@@ -78,6 +91,8 @@
     base::instant asked_at;
   };
   struct record {
+    limit_cause cause = limit_cause::named;  ///< Of the last question.
+    base::request_rate rate{};               ///< Of the last question.
     std::optional<question> open{};
     std::optional<base::instant> permit_start{};
     std::vector<base::instant> ask_again_at;       ///< By authority.
@@ -87,6 +102,8 @@
   record* answered(const base::upstream_id& id, std::size_t authority, base::instant asked_at);
   void give_up_unanswered(record& entry, base::instant now);
   void permit_unattended(record& entry, base::request_rate limit, base::instant now);
+  base::duration unattended_pause(const record& entry, bool first) const;
+  base::duration validity_of(const record& entry) const;
   base::duration jitter() const;
 
   permit_options options_;
--- a/include/catkintack/directory/endpoint_directory.hpp
+++ b/include/catkintack/directory/endpoint_directory.hpp
@@ -31,6 +31,9 @@
     endpoint listed;
     base::instant first_seen;                         ///< When this incarnation was first seen.
     base::instant warm_up_until;                      ///< End of the warm-up.
+    /// End of the warm-up that this incarnation reported itself. A listing that was written before
+    /// does not shorten it.
+    base::instant reported_warm_up_until = base::instant::min();
     base::instant expires_at = base::instant::max();  ///< Removed then unless it is listed again.
     /// Gets no work before: the entry had been removed and came back with an older copy of the
     /// registry, so that its upstream may be gone.
--- a/include/catkintack/limits/send_reservations.hpp
+++ b/include/catkintack/limits/send_reservations.hpp
@@ -31,6 +31,13 @@
   /// @brief Reserves the next send to an upstream.
   /// @param rate Rate of the sends that this authority may give out.
   send_reservation reserve(const base::upstream_id& id, base::request_rate rate, base::instant now);
+  /// @brief Reserves a send to a cold upstream, which may start at once, or refuses it. Nothing is
+  /// reserved ahead, so that an authority that restarts has no grants outstanding that it does not
+  /// count. The first send to an upstream waits for one interval, at most 2 s, as an upstream that
+  /// joins must get calls within 4 s also at a low rate.
+  send_reservation reserve_now(const base::upstream_id& id,
+                               base::request_rate rate,
+                               base::instant now);
   /// @brief Removes the record of an upstream that no longer exists.
   void forget(const base::upstream_id& id) { next_.erase(id); }
   std::size_t size() const { return next_.size(); }
--- a/include/catkintack/serving/traffic_state.hpp
+++ b/include/catkintack/serving/traffic_state.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -19,6 +20,7 @@
 #include "catkintack/choice/send_permits.hpp"
 #include "catkintack/choice/upstream_limits.hpp"
 #include "catkintack/choice/upstream_pauses.hpp"
+#include "catkintack/choice/warm_up_limits.hpp"
 #include "catkintack/directory/endpoint_directory.hpp"
 #include "catkintack/limits/byte_budget.hpp"
 #include "catkintack/limits/resend_budget.hpp"
@@ -54,7 +56,7 @@
   choice::outlier_detector outlier_detector;
   choice::upstream_pauses pauses;
   choice::upstream_limits upstream_limits;
-  choice::send_permits permits;  ///< For the upstreams that named a limit.
+  choice::send_permits permits;  ///< For the upstreams that named a limit or are cold.
   /// Requests a permit for an upstream unless one is in hand or was requested; may be unset.
   std::function<void(const base::upstream_id&)> request_permit;
   /// Called when the limit of an upstream began, ended or changed; may be unset.
@@ -82,15 +84,19 @@
     const base::instant now = clock();
     return upstreams.is_available(id, now) && !pauses.end_of(id, now);
   }
-  /// @brief Whether the limit of an upstream, if it named one, allows this host a call now.
-  bool within_limit(const base::upstream_id& id) const {
-    return !upstream_limits.limit_of(id) || permits.usable(id, clock());
-  }
-  /// @brief Uses up the permit for one call to an upstream that named a limit.
+  /// @brief Returns the calls per second of all hosts together to a cold upstream of a service; 0
+  /// if there is no limit or no configuration.
+  double warm_up_rate(const base::service_id& service) const;
+  /// @brief Returns the limit that applies to an upstream now, or nothing: the one that it named,
+  /// or the warm-up rate while it is cold.
+  std::optional<choice::send_limit> send_limit_of(const base::upstream_id& id) const;
+  /// @brief Whether an upstream is warming up and its service limits the calls to it meanwhile.
+  bool is_cold(const base::upstream_id& id) const;
+  /// @brief Whether the limit of an upstream, if it has one, allows this host a call now.
+  bool within_limit(const base::upstream_id& id) const;
+  /// @brief Uses up the permit for one call to an upstream that has a limit.
   /// @return False if the limit does not allow the call.
-  bool take_permit(const base::upstream_id& id) {
-    return !upstream_limits.limit_of(id) || permits.take(id, clock());
-  }
+  bool take_permit(const base::upstream_id& id);
   /// @brief Whether this host can serve calls for others.
   bool can_relay() const { return ready() && !isolation.isolated(); }
   /// @brief Logs requests whose quarantine began or ended, and calls on_crashes_changed.
--- a/include/catkintack/serving/upstream_notice.hpp
+++ b/include/catkintack/serving/upstream_notice.hpp
@@ -24,6 +24,9 @@
   /// It accepts so many requests from all hosts together.
   std::optional<base::request_rate> limit{};
   std::string unusable_limit{};  ///< Text of a malformed limit, which neither sets nor ends one.
+  /// How much longer it is warming up, zero if it is warm. Empty if it says nothing or the value is
+  /// malformed.
+  std::optional<base::duration> warm_up_left{};
   bool names_no_limit = false;   ///< A success without a limit, which ends an earlier one.
 };
 
@@ -38,6 +41,10 @@
 /// @return Nothing for a negative number or other text.
 std::optional<base::request_rate> parse_limit(std::string_view text);
 
+/// @brief Parses a time in milliseconds, with or without a fraction.
+/// @return Nothing for a negative number or other text. Values above an hour count as an hour.
+std::optional<base::duration> parse_warm_up_left(std::string_view text);
+
 /// @brief Reads the notice from a response.
 upstream_notice read_notice(unsigned status,
                             const boost::beast::http::fields& headers,
--- a/src/catkintack/choice/placement.cpp
+++ b/src/catkintack/choice/placement.cpp
@@ -24,7 +24,11 @@
     }
     const completion_estimate expected =
         estimate_completion(entry, call.service_time, options.estimate);
-    const base::duration score = entry.outlier ? expected.total * outlier_penalty : expected.total;
+    base::duration score = entry.outlier ? expected.total * outlier_penalty : expected.total;
+    if (entry.permitted && !entry.outlier && !expected.would_queue && !expected.queue_full &&
+        expected.total <= call.objective_left) {
+      score = base::duration::zero();
+    }
     if (!best || score < best_score) {
       best = ranked_candidate{&entry, expected};
       best_score = score;
--- a/src/catkintack/choice/send_permits.cpp
+++ b/src/catkintack/choice/send_permits.cpp
@@ -21,15 +21,25 @@
       random_() % static_cast<std::uint64_t>(options_.max_jitter.count() + 1)));
 }
 
-bool send_permits::usable(const base::upstream_id& id, base::instant now) const {
+base::duration send_permits::validity_of(const record& entry) const {
+  return entry.cause == limit_cause::warming_up ? options_.warm_up_validity : options_.validity;
+}
+
+bool send_permits::usable(const base::upstream_id& id,
+                          base::instant now,
+                          limit_cause cause) const {
   const auto found = records_.find(id);
-  return found != records_.end() && found->second.permit_start &&
-         now >= *found->second.permit_start &&
-         now <= *found->second.permit_start + options_.validity;
+  if (found == records_.end() || !found->second.permit_start) {
+    return false;
+  }
+  const record& entry = found->second;
+  const bool strict_enough = cause == limit_cause::named || entry.cause == limit_cause::warming_up;
+  return strict_enough && now >= *entry.permit_start &&
+         now <= *entry.permit_start + validity_of(entry);
 }
 
-bool send_permits::take(const base::upstream_id& id, base::instant now) {
-  if (!usable(id, now)) {
+bool send_permits::take(const base::upstream_id& id, base::instant now, limit_cause cause) {
+  if (!usable(id, now, cause)) {
     return false;
   }
   records_.at(id).permit_start.reset();
@@ -42,7 +52,7 @@
     return silent_until_.empty() ? now + longest_wait : now;
   }
   const record& entry = found->second;
-  if (entry.permit_start && *entry.permit_start + options_.validity >= now) {
+  if (entry.permit_start && *entry.permit_start + validity_of(entry) >= now) {
     return std::max(now, *entry.permit_start);
   }
   if (entry.open) {
@@ -68,27 +78,61 @@
     entry.unattended_at.reset();
     return;
   }
-  // A random part of the interval, so that hosts do not send in step.
-  constexpr std::uint64_t parts = 1000;
-  const double interval = options_.largest_fleet / limit.per_second();
-  const auto pause = std::chrono::duration_cast<base::duration>(std::chrono::duration<double>(
-      interval * 2 * static_cast<double>(1 + random_() % parts) / static_cast<double>(parts)));
-  if (entry.unattended_at && *entry.unattended_at <= now) {
+  const bool due = entry.unattended_at && *entry.unattended_at <= now;
+  if (due) {
     entry.permit_start = now;
-    entry.unattended_at.reset();
   }
-  entry.unattended_at = entry.unattended_at.value_or(now + pause);
+  if (due || !entry.unattended_at) {
+    entry.unattended_at = now + unattended_pause(entry, !due);
+  }
+}
+
+base::duration send_permits::unattended_pause(const record& entry, bool first) const {
+  constexpr std::uint64_t parts = 1000;
+  const double random_part =
+      static_cast<double>(1 + random_() % parts) / static_cast<double>(parts);
+  const double interval = options_.largest_fleet / entry.rate.per_second();
+  // A random part of the interval, so that hosts do not send in step.
+  double pause = interval * 2 * random_part;
+  if (entry.cause == limit_cause::warming_up) {
+    // The bound holds in each second, so that neither random clusters nor the renewals of pauses
+    // that began together may come near it: only the first pause is random, and a third of the rate
+    // is left unused.
+    constexpr double reserve = 1.5;
+    pause = interval * reserve * (first ? random_part : 1.0);
+  }
+  return std::chrono::duration_cast<base::duration>(std::chrono::duration<double>(pause));
+}
+
+std::vector<base::upstream_id> send_permits::requested_for_warm_up() const {
+  std::vector<base::upstream_id> result;
+  for (const auto& [id, entry] : records_) {
+    if (entry.cause == limit_cause::warming_up) {
+      result.push_back(id);
+    }
+  }
+  return result;
 }
 
 std::optional<std::size_t> send_permits::ask(const base::upstream_id& id,
                                              base::request_rate limit,
-                                             base::instant now) {
+                                             base::instant now,
+                                             limit_cause cause) {
   record& entry = records_[id];
+  if (cause == limit_cause::warming_up && entry.cause == limit_cause::named) {
+    // Permits, open questions and sends without an authority were for a higher rate.
+    entry = record{};
+  }
+  if (cause == limit_cause::warming_up && limit < entry.rate) {
+    entry.unattended_at.reset();
+  }
+  entry.cause = cause;
+  entry.rate = limit;
   entry.ask_again_at.resize(silent_until_.size(), base::instant::min());
   give_up_unanswered(entry, now);
   unanswered_since_ = unanswered_since_.value_or(now);
   permit_unattended(entry, limit, now);
-  const bool in_hand = entry.permit_start && now <= *entry.permit_start + options_.validity;
+  const bool in_hand = entry.permit_start && now <= *entry.permit_start + validity_of(entry);
   if (in_hand || entry.open) {
     return std::nullopt;
   }
--- a/src/catkintack/choice/send_permits_test.cpp
+++ b/src/catkintack/choice/send_permits_test.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <vector>
+
 namespace catkintack::choice {
 namespace {
 
@@ -125,5 +128,44 @@
   EXPECT_EQ(sends, 0);
 }
 
+// Permits given out at a higher rate than a cold upstream's would exceed its bound.
+TEST(send_permits, permit_requested_before_a_return_to_cold_cannot_be_used) {
+  send_permits permits = make_permits(1);
+  ASSERT_TRUE(permits.ask(press, limit, start));
+  ASSERT_TRUE(permits.on_granted(press, 0, start, milliseconds(0)));
+  EXPECT_TRUE(permits.usable(press, start));
+  EXPECT_FALSE(permits.usable(press, start, limit_cause::warming_up));
+  ASSERT_TRUE(permits.ask(press, limit, start, limit_cause::warming_up));
+  EXPECT_EQ(permits.requested_for_warm_up(), std::vector{press});
+  ASSERT_TRUE(permits.on_granted(press, 0, start, milliseconds(0)));
+  EXPECT_TRUE(permits.usable(press, start + milliseconds(500), limit_cause::warming_up));
+  EXPECT_FALSE(permits.usable(press, start + milliseconds(501), limit_cause::warming_up));
+}
+
+// Guards against a fleet that crashes a cold upstream while no authority can be reached.
+TEST(send_permits, a_thousand_hosts_without_authorities_stay_within_the_bound_of_a_cold_upstream) {
+  for (const double rate : {3.4, 40.0}) {
+    const auto random = base::seeded_random_hook(20261204);
+    std::vector<send_permits> hosts(1000, send_permits({.authority_count = 3}, random));
+    std::vector<base::instant> sent;
+    constexpr base::duration step = milliseconds(100);
+    constexpr std::size_t asked_one_in = 5;
+    std::size_t turn = 0;
+    for (base::instant now = start; now < start + seconds(180); now += step) {
+      for (std::size_t i = turn++ % asked_one_in; i < hosts.size(); i += asked_one_in) {
+        (void)hosts[i].ask(press, base::request_rate(rate), now, limit_cause::warming_up);
+        if (hosts[i].take(press, now, limit_cause::warming_up)) {
+          sent.push_back(now);
+        }
+      }
+    }
+    EXPECT_GT(sent.size(), 0U);
+    for (auto first = sent.begin(); first != sent.end(); ++first) {
+      const auto last = std::ranges::lower_bound(first, sent.end(), *first + seconds(1));
+      ASSERT_LE(static_cast<double>(last - first), rate * 1.5 + 8) << rate;
+    }
+  }
+}
+
 }  // namespace
 }  // namespace catkintack::choice
--- a/src/catkintack/control/permit_exchange.cpp
+++ b/src/catkintack/control/permit_exchange.cpp
@@ -1,6 +1,7 @@
 #include "catkintack/control/permit_exchange.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "catkintack/control/message_channel.hpp"
@@ -10,6 +11,7 @@
 
 // Wait of a refusal by an authority that does not know the upstream yet.
 constexpr base::duration unknown_upstream_wait = std::chrono::milliseconds(500);
+constexpr base::request_rate unlimited(std::numeric_limits<double>::infinity());
 constexpr base::duration max_wait = std::chrono::minutes(10);
 // Upstreams above this number are forgotten; each then starts with a full interval.
 constexpr std::size_t max_reservations = 10000;
@@ -32,16 +34,20 @@
 
 void permit_exchange::request(const base::upstream_id& upstream) {
   const base::instant now = state_.clock();
-  const auto limit = state_.upstream_limits.limit_of(upstream);
-  const auto authority = limit ? state_.permits.ask(upstream, *limit, now) : std::nullopt;
+  const auto limit = state_.send_limit_of(upstream);
+  const auto authority =
+      limit ? state_.permits.ask(upstream, limit->rate, now, limit->cause) : std::nullopt;
   if (!authority) {
     return;
   }
   state_.metrics.add("permit_requests_total");
-  const permit_message message{.kind = permit_message_kind::request,
-                               .upstream = upstream,
-                               .report = make_limit_report(state_, upstream),
-                               .asked_at_us = now.time_since_epoch().count()};
+  permit_message message{.kind = permit_message_kind::request,
+                         .upstream = upstream,
+                         .report = make_limit_report(state_, upstream),
+                         .asked_at_us = now.time_since_epoch().count()};
+  if (limit->cause == choice::limit_cause::warming_up) {
+    message.warm_up_rate = limit->rate;
+  }
   if (options_.authorities[*authority] == options_.self) {
     apply_reply(answer(message, base::to_string(options_.self)), *authority);
   } else {
@@ -67,20 +73,26 @@
                        .report = make_limit_report(state_, request.upstream),
                        .asked_at_us = request.asked_at_us,
                        .wait_us = unknown_upstream_wait.count()};
-  if (const auto limit = state_.upstream_limits.limit_of(request.upstream)) {
+  const auto known = state_.send_limit_of(request.upstream);
+  if (const auto limit = choice::limit_of_request(known, request.warm_up_rate)) {
     if (reservations_.size() > max_reservations) {
       reservations_ = limits::send_reservations();
     }
-    const base::request_rate share(limit->per_second() /
+    const base::request_rate share(limit->rate.per_second() /
                                    static_cast<double>(options_.authorities.size()));
-    const limits::send_reservation reserved = reservations_.reserve(request.upstream, share, now);
+    const bool cold = limit->cause == choice::limit_cause::warming_up;
+    const limits::send_reservation reserved =
+        cold ? reservations_.reserve_now(request.upstream, share, now)
+             : reservations_.reserve(request.upstream, share, now);
+    reply.warm_up_rate = cold ? std::optional(limit->rate) : std::nullopt;
     reply.granted = reserved.granted;
     reply.wait_us = reserved.wait.count();
     state_.metrics.add(reserved.granted ? "permits_granted_total" : "permits_refused_total");
     if (reserved.granted) {
       state_.log.write("permit_granted", {{"upstream", request.upstream.value()},
                                           {"host", host},
-                                          {"per_second", base::to_string(limit)},
+                                          {"per_second", base::to_string(limit->rate)},
+                                          {"cold", cold ? 1 : 0},
                                           {"wait_us", reserved.wait.count()}});
     }
   }
@@ -95,7 +107,14 @@
   }
   const base::instant asked_at{base::duration(reply.asked_at_us)};
   const base::duration wait(reply.wait_us);
-  if (reply.granted) {
+  const auto limit = state_.send_limit_of(reply.upstream);
+  // An authority of an older build gives out sends at the rate that the upstream named, if any.
+  const bool too_fast = limit && limit->cause == choice::limit_cause::warming_up &&
+                        reply.warm_up_rate.value_or(unlimited) > limit->rate;
+  if (reply.granted && too_fast) {
+    state_.metrics.add("permits_ignored_total");
+    state_.permits.on_refused(reply.upstream, authority, asked_at, unknown_upstream_wait);
+  } else if (reply.granted) {
     state_.permits.on_granted(reply.upstream, authority, asked_at, wait);
   } else {
     state_.permits.on_refused(reply.upstream, authority, asked_at, wait);
--- a/src/catkintack/control/permit_exchange_test.cpp
+++ b/src/catkintack/control/permit_exchange_test.cpp
@@ -2,7 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
+
 #include "catkintack/control/message_channel.hpp"
+#include "catkintack/routes/route_table_builder.hpp"
 
 namespace catkintack::control {
 namespace {
@@ -174,6 +177,78 @@
   EXPECT_EQ(fleet.authority.state.upstream_limits.last_change(), 1U);
 }
 
+void make_cold(permit_host& host, double rate) {
+  routes::route_table_builder builder{base::list_version(1)};
+  builder.add(
+      routes::service_profile{.service = base::service_id("press"), .warm_up_rate = rate});
+  host.state.table = std::make_shared<const routes::route_table>(std::move(builder).build());
+  host.state.upstreams.set_warm_up_end(press, host.now + seconds(60));
+}
+
+// Only probes show a return to cold, so an authority may not have noticed it.
+TEST(permit_exchange, authority_that_knows_nothing_of_the_warm_up_grants_at_the_rate_of_the_host) {
+  permit_fleet fleet;
+  make_cold(fleet.other, 4);
+  const auto refused = [&] {
+    return fleet.authority.state.metrics.prometheus_text().find("permits_refused_total") !=
+           std::string::npos;
+  };
+  fleet.other.exchange.request(press);
+  ASSERT_TRUE(fleet.run_until(refused));
+  EXPECT_FALSE(fleet.other.state.take_permit(press));
+  fleet.pass(seconds(2));
+  fleet.other.exchange.request(press);
+  ASSERT_TRUE(fleet.run_until([&] { return fleet.other.state.within_limit(press); }));
+  EXPECT_TRUE(fleet.other.state.take_permit(press));
+  EXPECT_FALSE(fleet.other.state.take_permit(press));
+}
+
+// During a rolling replacement, messages of both builds are read by both.
+TEST(permit_exchange, messages_of_older_and_newer_builds_are_compatible) {
+  const permit_message sent{.kind = permit_message_kind::request,
+                            .upstream = press,
+                            .asked_at_us = 7,
+                            .warm_up_rate = base::request_rate(3.4)};
+  const std::string with_rate = encode(sent);
+  EXPECT_EQ(decode<permit_message>(with_rate)->warm_up_rate, base::request_rate(3.4));
+  // An older build ends before the field: a flag and the number.
+  const std::string older = with_rate.substr(0, with_rate.size() - 1 - sizeof(double));
+  const auto decoded = decode<permit_message>(older);
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(decoded->warm_up_rate, std::nullopt);
+  EXPECT_EQ(decoded->upstream, press);
+  EXPECT_EQ(decoded->asked_at_us, 7);
+}
+
+// An authority of an older build grants at the limit that the upstream named, which is higher.
+TEST(permit_exchange, grant_without_the_rate_is_not_used_for_a_cold_upstream) {
+  asio::io_context io;
+  udp::socket authority(io, {asio::ip::make_address("127.0.0.1"), 0});
+  const base::address where{"127.0.0.1", authority.local_endpoint().port()};
+  permit_host host(io, free_udp_address(), {where});
+  make_cold(host, 4);
+  const auto answer = [&](std::optional<base::request_rate> rate) {
+    host.exchange.request(press);
+    std::array<char, 1500> buffer{};
+    udp::endpoint sender;
+    const std::size_t size = authority.receive_from(asio::buffer(buffer), sender);
+    auto message = decode<permit_message>(std::string(buffer.data(), size)).value();
+    message.kind = permit_message_kind::reply;
+    message.granted = true;
+    message.warm_up_rate = rate;
+    authority.send_to(asio::buffer(encode(message)), sender);
+    io.run_one_for(seconds(20));
+  };
+  answer(std::nullopt);
+  EXPECT_FALSE(host.state.within_limit(press));
+  host.now += seconds(2);
+  answer(base::request_rate(40));
+  EXPECT_FALSE(host.state.within_limit(press));
+  host.now += seconds(2);
+  answer(base::request_rate(4));
+  EXPECT_TRUE(host.state.within_limit(press));
+}
+
 TEST(permit_exchange, host_goes_on_while_no_authority_exists) {
   asio::io_context io;
   permit_host alone(io, free_udp_address(), {});
--- a/src/catkintack/control/registry_replica_test.cpp
+++ b/src/catkintack/control/registry_replica_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "catkintack/routes/route_table_builder.hpp"
 
 namespace catkintack::control {
@@ -280,5 +282,144 @@
   EXPECT_GE(fixture.replica.age(), stale_after);
 }
 
+const base::failure_domain_id north("north");
+
+/// @brief A replica with one upstream in the failure domain "north".
+struct evacuation_fixture : replica_fixture {
+  evacuation_fixture() {
+    directory::endpoint upstream = make("a");
+    upstream.record.failure_domain = north;
+    apply({.changed = {upstream}});
+    listed = {upstream};
+  }
+  void evacuate() { apply({.evacuations_begun = {north}}); }
+  void apply_snapshot(registry_revision revision, std::set<base::failure_domain_id> evacuations) {
+    replica.apply_snapshot({.revision = revision,
+                            .table = {},
+                            .upstreams = listed,
+                            .evacuations = std::move(evacuations)},
+                           "one");
+  }
+  bool logged(const std::string& event) const {
+    return std::ranges::any_of(lines, [&](const std::string& line) {
+      return line.find(event) != std::string::npos;
+    });
+  }
+
+  std::vector<directory::endpoint> listed;
+};
+
+TEST(evacuation, upstreams_get_no_work_from_its_begin_to_its_end) {
+  evacuation_fixture fixture;
+  fixture.evacuate();
+  EXPECT_EQ(fixture.usable(), 0U);
+  EXPECT_FALSE(fixture.state.upstreams.is_available(base::upstream_id("a"), fixture.now));
+  EXPECT_TRUE(fixture.logged("evacuation_began"));
+  fixture.now += std::chrono::hours(1);
+  EXPECT_EQ(fixture.usable(), 0U);
+  fixture.apply({.evacuations_ended = {north}});
+  EXPECT_EQ(fixture.usable(), 1U);
+  EXPECT_TRUE(fixture.logged("evacuation_ended"));
+}
+
+// An upstream that registers during the evacuation must not get calls.
+TEST(evacuation, upstream_that_registers_meanwhile_gets_no_work) {
+  evacuation_fixture fixture;
+  fixture.evacuate();
+  directory::endpoint late = make("b");
+  late.record.failure_domain = north;
+  fixture.apply({.changed = {late}});
+  EXPECT_EQ(fixture.usable(), 0U);
+}
+
+TEST(evacuation, unknown_failure_domain_is_logged_and_has_no_effect) {
+  evacuation_fixture fixture;
+  fixture.apply({.evacuations_begun = {base::failure_domain_id("nowhere")}});
+  EXPECT_EQ(fixture.usable(), 1U);
+  EXPECT_TRUE(fixture.logged("nowhere"));
+}
+
+TEST(evacuation, stays_in_force_while_the_registry_is_away) {
+  evacuation_fixture fixture;
+  fixture.evacuate();
+  fixture.replica.on_registry_lost("down");
+  fixture.now += std::chrono::hours(1);
+  EXPECT_EQ(fixture.usable(), 0U);
+  fixture.reach_registry();
+  EXPECT_EQ(fixture.usable(), 0U);
+}
+
+// A host that was away for longer than the history gets a full listing instead of the changes.
+TEST(evacuation, listing_after_lost_history_begins_and_ends_evacuations) {
+  evacuation_fixture fixture;
+  fixture.apply_snapshot({.number = 50}, {north});
+  EXPECT_EQ(fixture.usable(), 0U);
+  fixture.apply_snapshot({.number = 90}, {north});
+  EXPECT_EQ(fixture.usable(), 0U);
+  fixture.apply_snapshot({.number = 120}, {});
+  EXPECT_EQ(fixture.usable(), 1U);
+}
+
+TEST(evacuation, older_snapshot_is_ignored) {
+  evacuation_fixture fixture;
+  fixture.apply_snapshot({.number = 50}, {north});
+  fixture.apply_snapshot({.number = 40}, {});
+  EXPECT_EQ(fixture.usable(), 0U);
+  fixture.apply_snapshot({.number = 60}, {});
+  fixture.apply_snapshot({.number = 50}, {north});
+  EXPECT_EQ(fixture.usable(), 1U);
+}
+
+TEST(evacuation, snapshot_for_other_hosts_lists_it) {
+  evacuation_fixture fixture;
+  fixture.evacuate();
+  replica_fixture other;
+  other.replica.apply_snapshot(fixture.replica.snapshot(), "one");
+  EXPECT_EQ(other.usable(), 0U);
+}
+
+// Guards against calls to an evacuated failure domain because a restored registry has lost the key.
+TEST(evacuation, stays_for_the_grace_period_after_a_restore_that_lost_it) {
+  evacuation_fixture fixture;
+  fixture.evacuate();
+  const registry_revision restored{base::registry_era(1), 1};
+  fixture.apply_snapshot(restored, {});
+  EXPECT_TRUE(fixture.logged("evacuation_unconfirmed"));
+  fixture.now += milliseconds(1999);
+  EXPECT_EQ(fixture.usable(), 0U);
+  fixture.now += milliseconds(1);
+  EXPECT_EQ(fixture.usable(), 1U);
+}
+
+TEST(evacuation, written_again_in_the_grace_period_it_stays) {
+  evacuation_fixture fixture;
+  fixture.evacuate();
+  fixture.apply_snapshot({base::registry_era(1), 1}, {});
+  fixture.now += seconds(1);
+  fixture.evacuate();
+  fixture.now += std::chrono::hours(1);
+  EXPECT_EQ(fixture.usable(), 0U);
+}
+
+// An upstream that warmed up during the evacuation, or before a host restarted, must not count as
+// cold again because its entry is listed as it was written.
+TEST(warm_up, listing_and_snapshot_count_the_time_since_the_entry_was_written) {
+  replica_fixture fixture;
+  directory::endpoint upstream = make("a");
+  upstream.warm_up_left = seconds(3);
+  fixture.apply({.changed = {upstream}});
+  fixture.now += seconds(2);
+  replica_fixture other;
+  other.now = fixture.now;
+  other.replica.apply_snapshot(fixture.replica.snapshot(), "one");
+  fixture.replica.apply_snapshot({.revision = {.number = 9}, .table = {}, .upstreams = {upstream}},
+                                 "registry");
+  for (replica_fixture* const host : {&fixture, &other}) {
+    EXPECT_TRUE(host->state.upstreams.is_warming_up(base::upstream_id("a"), host->now));
+    host->now += seconds(1);
+    EXPECT_FALSE(host->state.upstreams.is_warming_up(base::upstream_id("a"), host->now));
+  }
+}
+
 }  // namespace
 }  // namespace catkintack::control
--- a/src/catkintack/directory/endpoint_directory.cpp
+++ b/src/catkintack/directory/endpoint_directory.cpp
@@ -20,6 +20,7 @@
   const auto found = entries_.find(id);
   if (found != entries_.end()) {
     found->second.warm_up_until = until;
+    found->second.reported_warm_up_until = until;
   }
 }
 
@@ -96,10 +97,11 @@
   current.listed = added;
   current.expires_at = base::instant::max();
   current.unconfirmed_until = base::instant::min();
-  current.warm_up_until = now + added.warm_up_left;
   if (restarted) {
     current.first_seen = now;
+    current.reported_warm_up_until = base::instant::min();
   }
+  current.warm_up_until = std::max(now + added.warm_up_left, current.reported_warm_up_until);
   return changed;
 }
 
@@ -148,7 +150,15 @@
   for (const endpoint& entry : listed) {
     listed_ids.insert(entry.record.id);
     const bool hold_back = kind == listing_kind::restored && was_removed(entry);
+    const known_endpoint* const known = find(entry.record.id);
+    const bool repeated = known != nullptr && known->listed.run == entry.run &&
+                          known->listed.warm_up_left == entry.warm_up_left;
+    const base::instant warm_up_until = repeated ? known->warm_up_until : base::instant::min();
     upsert(entry, now);
+    if (repeated) {
+      // The remaining time was counted when the entry was written, not when it was listed again.
+      entries_.at(entry.record.id).warm_up_until = warm_up_until;
+    }
     if (hold_back) {
       entries_.at(entry.record.id).unconfirmed_until = now + restored_entry_hold;
     }
--- a/src/catkintack/limits/send_reservations_test.cpp
+++ b/src/catkintack/limits/send_reservations_test.cpp
@@ -47,5 +47,26 @@
   }
 }
 
+// Sends reserved ahead would add to those that a restarted authority gives out.
+TEST(send_reservations, send_to_a_cold_upstream_starts_at_once_or_is_refused) {
+  send_reservations reservations;
+  const base::request_rate rate(4);
+  EXPECT_EQ(reservations.reserve_now(press, rate, start).wait, milliseconds(250));
+  const base::instant later = start + milliseconds(250);
+  EXPECT_TRUE(reservations.reserve_now(press, rate, later).granted);
+  const send_reservation second = reservations.reserve_now(press, rate, later);
+  EXPECT_FALSE(second.granted);
+  EXPECT_EQ(second.wait, milliseconds(250));
+}
+
+// An upstream that joins must get calls within 4 s, also at a low rate.
+TEST(send_reservations, first_send_to_a_cold_upstream_waits_for_two_seconds_at_most) {
+  send_reservations reservations;
+  const base::request_rate rate(0.1);
+  EXPECT_EQ(reservations.reserve_now(press, rate, start).wait, seconds(2));
+  EXPECT_TRUE(reservations.reserve_now(press, rate, start + seconds(2)).granted);
+  EXPECT_EQ(reservations.reserve_now(press, rate, start + seconds(2)).wait, seconds(10));
+}
+
 }  // namespace
 }  // namespace catkintack::limits
--- a/src/catkintack/serving/call_runner.cpp
+++ b/src/catkintack/serving/call_runner.cpp
@@ -350,8 +350,8 @@
     }
     progress.tried.insert(selection.upstream);
     diagnostics.attempts = ++progress.attempts;
-    diagnostics.limit = state.upstream_limits.limit_of(selection.upstream);
-    if (diagnostics.limit) {
+    if (const auto limit = state.send_limit_of(selection.upstream)) {
+      diagnostics.limit = limit->rate;
       state.metrics.add("sends_to_limited_upstreams_total");
     }
     call_result result;
--- a/src/catkintack/serving/frontend_server.cpp
+++ b/src/catkintack/serving/frontend_server.cpp
@@ -7,6 +7,7 @@
 #include "catkintack/serving/http_message.hpp"
 #include "catkintack/serving/status.hpp"
 #include "catkintack/serving/task.hpp"
+#include "catkintack/serving/warm_up_knowledge.hpp"
 
 namespace catkintack::serving {
 namespace {
@@ -117,6 +118,7 @@
       state_.permits.forget(id);
       state_.log.write("upstream_expired", {{"upstream", id.value()}});
     }
+    drop_finished_warm_ups(state_);
     sessions_.remove_if([](const auto& session) { return session.expired(); });
   }
 }
--- a/src/catkintack/serving/probe_round.cpp
+++ b/src/catkintack/serving/probe_round.cpp
@@ -15,12 +15,32 @@
 
 constexpr int max_connection_attempts = 4;
 
+/// @brief Removes the reading of a candidate that turned out to be cold, unless this host has a
+/// permit for it, so that it cannot be chosen.
+void refresh_warm_up(const traffic_state& state, choice::candidate& target) {
+  if (!state.is_cold(target.id)) {
+    target.permitted = false;
+    return;
+  }
+  target.warming_up = true;
+  target.permitted = state.within_limit(target.id);
+  if (!target.permitted) {
+    target.probe.reset();
+  }
+}
+
 }  // namespace
 
 probe_round::probe_round(traffic_state& state, asio::any_io_executor executor)
     : state_(state), executor_(std::move(executor)), changed_(executor_) {}
 
 bool probe_round::has_good_candidate() const {
+  const bool awaits_permitted = std::ranges::any_of(candidates_, [](const choice::candidate& one) {
+    return one.permitted && !one.probe && !one.outlier;
+  });
+  if (awaits_permitted) {
+    return false;
+  }
   return std::ranges::any_of(candidates_, [&](const choice::candidate& one) {
     return one.probe && !one.outlier && !one.warming_up &&
            one.distance != choice::upstream_distance::other_region &&
@@ -151,7 +171,9 @@
   if (!parser.keep_alive()) {
     connection.close();
   }
-  co_return target.probe.has_value();
+  const bool answered = target.probe.has_value();
+  refresh_warm_up(state_, target);
+  co_return answered;
 }
 
 asio::awaitable<void> probe_round::probe(std::size_t index, std::string health_path) {
--- a/src/catkintack/serving/traffic_state.cpp
+++ b/src/catkintack/serving/traffic_state.cpp
@@ -19,6 +19,36 @@
       repeats(options.repeats),
       remote_bytes(options.remote_bytes_per_second, options.remote_bytes_burst) {}
 
+double traffic_state::warm_up_rate(const base::service_id& service) const {
+  return table ? table->profile(service).warm_up_rate : 0;
+}
+
+std::optional<choice::send_limit> traffic_state::send_limit_of(const base::upstream_id& id) const {
+  const bool warming_up = upstreams.is_warming_up(id, clock());
+  const double rate =
+      warming_up ? warm_up_rate(upstreams.find(id)->listed.record.service) : 0;
+  return choice::limit_in_force(upstream_limits.limit_of(id), warming_up, rate);
+}
+
+bool traffic_state::is_cold(const base::upstream_id& id) const {
+  const auto limit = send_limit_of(id);
+  return limit && limit->cause == choice::limit_cause::warming_up;
+}
+
+bool traffic_state::within_limit(const base::upstream_id& id) const {
+  const auto limit = send_limit_of(id);
+  return !limit || permits.usable(id, clock(), limit->cause);
+}
+
+bool traffic_state::take_permit(const base::upstream_id& id) {
+  const auto limit = send_limit_of(id);
+  const bool allowed = !limit || permits.take(id, clock(), limit->cause);
+  if (limit && limit->cause == choice::limit_cause::warming_up) {
+    metrics.add(allowed ? "cold_upstream_sends_total" : "cold_upstream_sends_held_back_total");
+  }
+  return allowed;
+}
+
 void traffic_state::notify_crashes_changed() {
   const auto& quarantined = crashes.quarantined();
   for (const base::request_fingerprint& request : quarantined) {
--- a/src/catkintack/serving/upstream_notice.cpp
+++ b/src/catkintack/serving/upstream_notice.cpp
@@ -8,6 +8,7 @@
 #include "catkintack/serving/limit_knowledge.hpp"
 #include "catkintack/serving/status.hpp"
 #include "catkintack/serving/traffic_state.hpp"
+#include "catkintack/serving/warm_up_knowledge.hpp"
 
 namespace catkintack::serving {
 namespace {
@@ -56,6 +57,16 @@
   return per_second ? std::optional(base::request_rate(*per_second)) : std::nullopt;
 }
 
+std::optional<base::duration> parse_warm_up_left(std::string_view text) {
+  constexpr double max_milliseconds = 60 * 60 * 1000;
+  const std::optional<double> left = parse_decimal(text, max_milliseconds);
+  if (!left) {
+    return std::nullopt;
+  }
+  return std::chrono::duration_cast<base::duration>(
+      std::chrono::duration<double, std::milli>(*left));
+}
+
 upstream_notice read_notice(unsigned status,
                             const http::fields& headers,
                             const upstream_protocol& protocol) {
@@ -70,6 +81,7 @@
   if (has_limit && !result.limit) {
     result.unusable_limit = limit;
   }
+  result.warm_up_left = parse_warm_up_left(to_string_view(headers[protocol.warm_up_left]));
   result.names_no_limit = !has_limit && status >= status::ok && status < status::multiple_choices &&
                           headers.count(protocol.proof) > 0;
   return result;
@@ -91,6 +103,9 @@
                     {{"upstream", upstream.value()}, {"requested_us", notice.pause->count()}});
   }
   apply_limit(state, upstream, notice, source);
+  if (source == notice_source::probe && notice.warm_up_left) {
+    observe_warm_up(state, upstream, *notice.warm_up_left);
+  }
 }
 
 }  // namespace catkintack::serving
--- a/src/catkintack/serving/upstream_selection.cpp
+++ b/src/catkintack/serving/upstream_selection.cpp
@@ -44,18 +44,25 @@
     result.push_back({.id = record.id,
                       .distance = where,
                       .warming_up = now < endpoint->warm_up_until,
+                      .permitted = state.is_cold(record.id),
                       .outlier = state.outlier_detector.is_outlier(record.id, now) ||
                                  endpoint->expires_at != base::instant::max()});
   }
   return result;
 }
 
-/// @brief Requests permits for the upstreams of a service that named a limit.
-/// @param whole_region False for those in this host's own failure domain only.
+// Calls from the whole region help to reach an upstream that joined in a failure domain without
+// hosts in time, which is 4 s.
+constexpr base::duration joining_time = std::chrono::seconds(4);
+
+/// @brief Requests permits for the upstreams of a service that named a limit or are cold.
+/// @param whole_region False for those in this host's own failure domain, and cold ones that joined
+/// recently, only.
 void request_permits(const traffic_state& state,
                      const base::service_id& service,
                      bool whole_region) {
-  if (state.upstream_limits.empty() || !state.request_permit) {
+  const bool none_limited = state.upstream_limits.empty() && state.warm_up_rate(service) <= 0;
+  if (none_limited || !state.request_permit) {
     return;
   }
   const base::instant now = state.clock();
@@ -66,7 +73,9 @@
     const upstream_distance where = distance_to(record, state.options);
     if (!state.within_limit(record.id) && !state.pauses.end_of(record.id, now) &&
         (where == upstream_distance::same_failure_domain ||
-         (whole_region && where == upstream_distance::same_region))) {
+         (where == upstream_distance::same_region &&
+          (whole_region ||
+           (state.is_cold(record.id) && now - endpoint->first_seen < joining_time))))) {
       limited.push_back(record.id);
     }
   }
@@ -102,6 +111,7 @@
       text += "none";
     }
     text += one.outlier ? "!" : "";
+    text += one.permitted ? "*" : "";
   }
   return text;
 }
@@ -171,7 +181,9 @@
         service_(std::move(service)),
         tried_(tried),
         started_at_(state.clock()),
-        probes_lack_load_(state.probes_without_load.contains(service_)),
+        // Only a probe shows that an upstream returned to cold.
+        probes_lack_load_(state.probes_without_load.contains(service_) &&
+                          state.warm_up_rate(service_) <= 0),
         health_path_(served.table->profile(service_).health_path) {}
 
   /// @brief Probes this region, and the other regions if the decision asks for it.
@@ -188,6 +200,7 @@
     if (split && should_widen()) {
       co_await probe_and_place(std::move(region.secondary), search_scope::region);
     }
+    co_await try_new_permits();
     if (should_widen()) {
       auto remote = list_candidates(state_, service_, tried_, true);
       co_await probe_and_place(std::move(remote), search_scope::everywhere);
@@ -197,7 +210,7 @@
     }
     const auto resumed_in = time_until_resumed(state_, service_);
     if (result.decision.action != choice::placement_action::send && resumed_in &&
-        probed_candidates().empty()) {
+        (probed_candidates().empty() || only_cold_ones_answered())) {
       result.decision = choice::place_paused_call(
           *resumed_in, build_call_requirements(state_, served_, started_at_),
           state_.options.placement, state_.random);
@@ -241,6 +254,32 @@
     return result.decision.action == choice::placement_action::widen_search && !served_.caller_left;
   }
 
+  /// @brief Probes cold upstreams for which a permit arrived during the search, so that the call that
+  /// requested it can use it. At a low call rate, most permits would lapse before the next call.
+  asio::awaitable<void> try_new_permits() {
+    if (state_.warm_up_rate(service_) <= 0 || served_.caller_left) {
+      co_return;
+    }
+    auto arrived = list_candidates(state_, service_, tried_, false);
+    std::erase_if(arrived, [&](const candidate& one) {
+      return !one.permitted ||
+             std::ranges::find(probed_candidates(), one.id, &candidate::id) !=
+                 probed_candidates().end();
+    });
+    if (!arrived.empty()) {
+      co_await probe_and_place(std::move(arrived), search_scope::region);
+    }
+  }
+
+  /// @brief Whether no candidate can be chosen and at least one is held back because it is cold.
+  bool only_cold_ones_answered() const {
+    const auto& probed = probed_candidates();
+    return std::ranges::none_of(probed, [](const candidate& one) { return one.probe.has_value(); }) &&
+           std::ranges::any_of(probed, [&](const candidate& one) {
+             return state_.is_cold(one.id) && !state_.within_limit(one.id);
+           });
+  }
+
   asio::awaitable<void> probe_and_place(std::vector<candidate> candidates, search_scope scope) {
     const bool other_regions = scope == search_scope::everywhere;
     if (probes_lack_load_) {
