--- a/include/catkintack/serving/upstream_selection.hpp
+++ b/include/catkintack/serving/upstream_selection.hpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 
 #include "catkintack/choice/call_requirements.hpp"
 #include "catkintack/choice/placement.hpp"
@@ -13,6 +14,9 @@
 
 namespace catkintack::serving {
 
+/// Value of `upstream_selection::considered` if all upstreams of the service are evacuated.
+inline constexpr std::string_view all_evacuated = "evacuated";
+
 /// @brief The selected upstream, or the decision that refuses the call.
 struct upstream_selection {
   std::unique_ptr<upstream_connection> connection;  ///< Null when the call is refused.
--- a/src/catkintack/choice/send_permits_test.cpp
+++ b/src/catkintack/choice/send_permits_test.cpp
@@ -145,8 +145,10 @@
 // Guards against a fleet that crashes a cold upstream while no authority can be reached.
 TEST(send_permits, a_thousand_hosts_without_authorities_stay_within_the_bound_of_a_cold_upstream) {
   for (const double rate : {3.4, 40.0}) {
-    const auto random = base::seeded_random_hook(20261204);
-    std::vector<send_permits> hosts(1000, send_permits({.authority_count = 3}, random));
+    std::vector<send_permits> hosts;
+    for (std::uint64_t seed = 1; seed <= 1000; ++seed) {
+      hosts.emplace_back(permit_options{.authority_count = 3}, base::seeded_random_hook(seed));
+    }
     std::vector<base::instant> sent;
     constexpr base::duration step = milliseconds(100);
     constexpr std::size_t asked_one_in = 5;
--- a/src/catkintack/serving/call_runner.cpp
+++ b/src/catkintack/serving/call_runner.cpp
@@ -82,8 +82,11 @@
     result.local = make_local_response(state, served, status::bad_gateway,
                                        "no whole answer from an upstream\n");
   } else {
+    const bool evacuated = diagnostics.considered == all_evacuated;
     result.local = make_local_response(state, served, status::unavailable,
-                                       "not run: no upstream can serve it now\n", retry_after);
+                                       evacuated ? "not run: all upstreams are evacuated\n"
+                                                 : "not run: no upstream can serve it now\n",
+                                       retry_after);
   }
   return result;
 }
--- a/src/catkintack/serving/cold_upstream_fleet_test.cpp
+++ b/src/catkintack/serving/cold_upstream_fleet_test.cpp
@@ -61,14 +61,19 @@
       host->upstreams.upsert(entry(span), now_);
     }
   }
-  void restart_authorities() { authorities_.assign(authority_count, {}); }
-  void restart_authority(std::size_t index) { authorities_[index] = {}; }
+  /// @brief Sets for how long a call that requested a permit can use it: the time of its probes
+  /// (15 ms), or of its hold if there is no other upstream.
+  void set_search_time(base::duration time) { search_time_ = time; }
+  void restart_authorities() { authorities_.assign(authority_count, limits::send_reservations()); }
+  void restart_authority(std::size_t index) { authorities_[index] = limits::send_reservations(); }
   void restart_hosts() {
     pending_.clear();
     for (auto& host : hosts_) {
       serving_options options;
       options.permits.authority_count = authority_count;
-      host = std::make_unique<traffic_state>(options, [this] { return now_; }, random_, log_);
+      // A copy of the hook would give all hosts the same numbers.
+      host = std::make_unique<traffic_state>(
+          options, [this] { return now_; }, base::seeded_random_hook(random_()), log_);
       host->table = table_;
       host->upstreams.upsert(entry(base::duration(0)), now_);
     }
@@ -136,8 +141,10 @@
     if (!authority) {
       return;
     }
+    // One authority is in the host's region.
+    const std::uint64_t max_ms = *authority == 0 ? 6 : 30;
     deliver(
-        [this, index, at = *authority, asked_at = now_, rate = limit->rate] {
+        [this, index, max_ms, at = *authority, asked_at = now_, rate = limit->rate] {
           // The authority does not know that the upstream is cold.
           const auto used = choice::limit_of_request(std::nullopt, rate);
           const limits::send_reservation answer = authorities_[at].reserve_now(
@@ -146,16 +153,20 @@
               [this, index, at, asked_at, answer] {
                 if (answer.granted) {
                   hosts_[index]->permits.on_granted(press, at, asked_at, answer.wait);
+                  if (now_ - asked_at <= search_time_) {
+                    call(index);
+                  }
                 } else {
                   hosts_[index]->permits.on_refused(press, at, asked_at, answer.wait);
                 }
               },
-              30);
+              max_ms);
         },
-        30);
+        max_ms);
   }
 
   double rate_;
+  base::duration search_time_ = milliseconds(15);
   base::random_hook random_;
   base::instant now_{seconds(1000)};
   logging::structured_log log_{[] { return base::wall_time(); }, [this] { return now_; },
@@ -220,6 +231,7 @@
   for (const std::size_t hosts : fleet_sizes) {
     constexpr double rate = 3.4;
     cold_fleet fleet(hosts, rate, 20261204);
+    fleet.set_search_time(milliseconds(125));
     fleet.list_as_cold(seconds(60));
     fleet.run(seconds(20), 400);
     EXPECT_GE(static_cast<double>(fleet.cold_sends()), 0.5 * rate * 20) << hosts << " hosts";
--- a/src/catkintack/serving/cold_upstream_test.cpp
+++ b/src/catkintack/serving/cold_upstream_test.cpp
@@ -18,8 +18,7 @@
 /// @brief A host, a service with a warm-up rate and an upstream "a".
 struct cold_world : serving_fixture {
   explicit cold_world(double warm_up_rate = 3.4)
-      : serving_fixture([](serving_options& options) { options.permits.authority_count = 1; },
-                        [this] { return now; }) {
+      : serving_fixture([](serving_options& options) { options.permits.authority_count = 1; }) {
     routes::route_table_builder builder{base::list_version(1)};
     builder.add(routes::service_profile{.service = base::service_id("press"),
                                         .warm_up_rate = warm_up_rate});
@@ -56,6 +55,7 @@
   }
   /// @brief Requests a permit and grants it at once.
   bool ask_and_grant() {
+    const base::instant now = state.clock();
     const auto limit = state.send_limit_of(cold_id);
     return limit && state.permits.ask(cold_id, limit->rate, now, limit->cause) &&
            state.permits.on_granted(cold_id, 0, now, base::duration(0));
@@ -66,7 +66,6 @@
     });
   }
 
-  base::instant now = base::system_clock_hook()();
   scripted_upstream* cold = nullptr;
   std::vector<std::string> asked;
   int grants = 0;  ///< Number of requests for a permit that are granted at once.
@@ -105,7 +104,7 @@
   world.say("5000");
   auto listed = world.state.upstreams.find(cold_id)->listed;
   listed.warm_up_left = std::chrono::seconds(5);
-  world.state.upstreams.upsert(listed, world.now);
+  world.state.upstreams.upsert(listed, world.state.clock());
   world.add_warm();
   world.grants = 1;
   scripted_caller caller(world);
@@ -119,7 +118,7 @@
 TEST(cold_upstream, permit_allows_one_call) {
   cold_world world;
   world.say("5000");
-  world.state.upstreams.set_warm_up_end(cold_id, world.now + std::chrono::seconds(5));
+  world.state.upstreams.set_warm_up_end(cold_id, world.state.clock() + std::chrono::seconds(5));
   ASSERT_TRUE(world.ask_and_grant());
   scripted_caller caller(world);
   caller.get("one");
@@ -133,8 +132,9 @@
 TEST(cold_upstream, permit_from_before_the_return_to_cold_does_not_count) {
   cold_world world;
   world.say("5000");
-  ASSERT_TRUE(world.state.permits.ask(cold_id, base::request_rate(40), world.now));
-  ASSERT_TRUE(world.state.permits.on_granted(cold_id, 0, world.now, base::duration(0)));
+  const base::instant asked_at = world.state.clock();
+  ASSERT_TRUE(world.state.permits.ask(cold_id, base::request_rate(40), asked_at));
+  ASSERT_TRUE(world.state.permits.on_granted(cold_id, 0, asked_at, base::duration(0)));
   scripted_caller caller(world);
   caller.get("one");
   ASSERT_TRUE(caller.wait_for("HTTP/1.1 503"));
@@ -143,7 +143,7 @@
 
 TEST(cold_upstream, end_of_the_warm_up_ends_the_limit_and_drops_the_permits) {
   cold_world world;
-  world.state.upstreams.set_warm_up_end(cold_id, world.now + std::chrono::seconds(5));
+  world.state.upstreams.set_warm_up_end(cold_id, world.state.clock() + std::chrono::seconds(5));
   ASSERT_TRUE(world.ask_and_grant());
   world.say("0");
   scripted_caller caller(world);
@@ -175,7 +175,7 @@
   }
   EXPECT_EQ(world.cold->received.size(), 3U);
   EXPECT_TRUE(world.asked.empty());
-  EXPECT_FALSE(world.state.upstreams.is_warming_up(cold_id, world.now));
+  EXPECT_FALSE(world.state.upstreams.is_warming_up(cold_id, world.state.clock()));
 }
 
 // A health check without a load header usually ends probing, and so the view of a return to cold.
@@ -195,24 +195,26 @@
   const base::failure_domain_id domain("two");
   auto listed = world.state.upstreams.find(cold_id)->listed;
   listed.record.failure_domain = domain;
-  world.state.upstreams.upsert(listed, world.now);
+  world.state.upstreams.upsert(listed, world.state.clock());
   bool evacuated = false;
   auto& running = world.add("c", [&](const received_request& request) -> scripted_reply {
     evacuated = world.state.upstreams.begin_evacuation(domain);
     return {.bytes = valid_response(request, "from c")};
   });
-  world.state.upstreams.remove(cold_id, world.now);
+  world.state.upstreams.remove(cold_id, world.state.clock());
   auto entry = world.state.upstreams.find(base::upstream_id("c"))->listed;
   entry.record.failure_domain = domain;
-  world.state.upstreams.upsert(entry, world.now);
+  world.state.upstreams.upsert(entry, world.state.clock());
   scripted_caller caller(world);
   caller.get("one");
   ASSERT_TRUE(caller.wait_for("from c"));
   EXPECT_TRUE(evacuated);
-  EXPECT_FALSE(world.state.upstreams.is_available(base::upstream_id("c"), world.now));
+  EXPECT_FALSE(world.state.upstreams.is_available(base::upstream_id("c"), world.state.clock()));
   const int probes = running.probes;
   caller.get("two");
-  ASSERT_TRUE(caller.wait_for("HTTP/1.1 503"));
+  ASSERT_TRUE(caller.wait_for("not run: all upstreams are evacuated"));
+  EXPECT_NE(caller.received_bytes.find("HTTP/1.1 503"), std::string::npos);
+  EXPECT_NE(caller.received_bytes.find("Retry-After: 5"), std::string::npos);
   EXPECT_EQ(running.received.size(), 1U);
   EXPECT_EQ(running.probes, probes);
 }
--- a/src/catkintack/serving/upstream_selection.cpp
+++ b/src/catkintack/serving/upstream_selection.cpp
@@ -99,6 +99,21 @@
   return result;
 }
 
+// Retry-After of calls that are refused because of an evacuation, which operators end.
+constexpr base::duration evacuation_retry_after = std::chrono::seconds(5);
+
+/// @brief Whether no upstream of a service can accept work and at least one is evacuated.
+bool is_evacuated(const traffic_state& state, const base::service_id& service) {
+  const base::instant now = state.clock();
+  if (!state.upstreams.available(service, now).empty()) {
+    return false;
+  }
+  return std::ranges::any_of(state.upstreams.entries(), [&](const directory::endpoint& entry) {
+    return entry.record.service == service &&
+           state.upstreams.is_evacuated(entry.record.failure_domain, now);
+  });
+}
+
 std::string format_candidates(const std::vector<candidate>& candidates) {
   std::string text;
   for (const candidate& one : candidates) {
@@ -190,6 +205,12 @@
   asio::awaitable<void> run() {
     round_ = std::make_shared<probe_round>(state_, executor_);
     local_candidates_.clear();
+    if (is_evacuated(state_, service_)) {
+      result.considered = all_evacuated;
+      result.decision = choice::placement{};
+      result.decision.pause = evacuation_retry_after;
+      co_return;
+    }
     request_permits(state_, service_, false);
     auto in_region = list_candidates(state_, service_, tried_, false);
     auto region =
