--- a/include/catkintack/serving/upstream_selection.hpp
+++ b/include/catkintack/serving/upstream_selection.hpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 
 #include "catkintack/choice/call_requirements.hpp"
 #include "catkintack/choice/placement.hpp"
--- a/src/catkintack/serving/upstream_selection.cpp
+++ b/src/catkintack/serving/upstream_selection.cpp
@@ -71,20 +71,26 @@
     result.push_back({.id = record.id,
                       .distance = where,
                       .warming_up = now < endpoint->warm_up_until,
+                      .permitted = state.is_cold(record.id),
                       .outlier = state.outlier_detector.is_outlier(record.id, now) ||
                                  endpoint->expires_at != base::instant::max()});
   }
   return result;
 }
 
-/// @brief Requests permits for the upstreams of a service that named a limit.
-/// @param whole_region False for those in this host's own failure domain only; otherwise for all
-/// near ones.
+// Calls from the whole region help to reach an upstream that joined in a failure domain without
+// hosts in time, which is 4 s.
+constexpr base::duration joining_time = std::chrono::seconds(4);
+
+/// @brief Requests permits for the upstreams of a service that named a limit or are cold.
+/// @param whole_region False for those in this host's own failure domain, and cold ones that joined
+/// recently, only; otherwise for all near ones.
 void request_permits(const traffic_state& state,
                      const base::service_id& service,
                      const search_area& area,
                      bool whole_region) {
-  if (state.upstream_limits.empty() || !state.request_permit) {
+  const bool none_limited = state.upstream_limits.empty() && state.warm_up_rate(service) <= 0;
+  if (none_limited || !state.request_permit) {
     return;
   }
   const base::instant now = state.clock();
@@ -95,7 +101,8 @@
     const upstream_distance where = distance_to(record, state.options);
     if (!state.within_limit(record.id) && !state.pauses.end_of(record.id, now) &&
         area.place_of(record.region) == search_place::near &&
-        (whole_region || where == upstream_distance::same_failure_domain)) {
+        (whole_region || where == upstream_distance::same_failure_domain ||
+         (state.is_cold(record.id) && now - endpoint->first_seen < joining_time))) {
       limited.push_back(record.id);
     }
   }
@@ -123,6 +130,21 @@
   return result;
 }
 
+// Retry-After of calls that are refused because of an evacuation, which operators end.
+constexpr base::duration evacuation_retry_after = std::chrono::seconds(5);
+
+/// @brief Whether no upstream of a service can accept work and at least one is evacuated.
+bool is_evacuated(const traffic_state& state, const base::service_id& service) {
+  const base::instant now = state.clock();
+  if (!state.upstreams.available(service, now).empty()) {
+    return false;
+  }
+  return std::ranges::any_of(state.upstreams.entries(), [&](const directory::endpoint& entry) {
+    return entry.record.service == service &&
+           state.upstreams.is_evacuated(entry.record.failure_domain, now);
+  });
+}
+
 std::string format_candidates(const std::vector<candidate>& candidates) {
   std::string text;
   for (const candidate& one : candidates) {
@@ -135,6 +157,7 @@
       text += "none";
     }
     text += one.outlier ? "!" : "";
+    text += one.permitted ? "*" : "";
   }
   return text;
 }
@@ -206,7 +229,9 @@
         started_at_(state.clock()),
         allowed_(residence_of(served)),
         area_(state.options.region, allowed_, true),
-        probes_lack_load_(state.probes_without_load.contains(service_)),
+        // Only a probe shows that an upstream returned to cold.
+        probes_lack_load_(state.probes_without_load.contains(service_) &&
+                          state.warm_up_rate(service_) <= 0),
         health_path_(served.table->profile(service_).health_path) {}
 
   /// @brief Probes this region, and the other regions if the decision asks for it. For a call
@@ -214,6 +239,13 @@
   asio::awaitable<void> run() {
     round_ = std::make_shared<probe_round>(state_, executor_);
     local_candidates_.clear();
+    if (is_evacuated(state_, service_)) {
+      result.decision = {};
+      result.decision.action = choice::placement_action::refuse;
+      result.decision.pause = evacuation_retry_after;
+      result.refusal = "not run: all upstreams are evacuated\n";
+      co_return;
+    }
     if (!find_area()) {
       refuse_without_upstream();
       co_return;
@@ -230,6 +262,7 @@
     if (split && should_widen()) {
       co_await probe_and_place(std::move(region.secondary), whole);
     }
+    co_await try_new_permits();
     if (should_widen()) {
       auto remote = list_candidates(state_, service_, tried_, area_, search_place::far);
       co_await probe_and_place(std::move(remote), search_scope::everywhere);
@@ -239,7 +272,7 @@
     }
     const auto resumed_in = time_until_resumed(state_, service_, area_);
     if (result.decision.action != choice::placement_action::send && resumed_in &&
-        probed_candidates().empty()) {
+        (probed_candidates().empty() || only_cold_ones_answered())) {
       result.decision = choice::place_paused_call(
           *resumed_in, build_call_requirements(state_, served_, started_at_),
           state_.options.placement, state_.random);
@@ -317,6 +350,35 @@
     return result.decision.action == choice::placement_action::widen_search && !served_.caller_left;
   }
 
+  /// @brief Probes cold upstreams for which a permit arrived during the search, so that the call
+  /// that requested it can use it. At a low call rate, most permits would lapse before the next
+  /// call.
+  asio::awaitable<void> try_new_permits() {
+    if (state_.warm_up_rate(service_) <= 0 || served_.caller_left) {
+      co_return;
+    }
+    auto arrived = list_candidates(state_, service_, tried_, area_, search_place::near);
+    std::erase_if(arrived, [&](const candidate& one) {
+      return !one.permitted || std::ranges::find(probed_candidates(), one.id, &candidate::id) !=
+                                   probed_candidates().end();
+    });
+    if (!arrived.empty()) {
+      co_await probe_and_place(std::move(arrived), area_.own_region_replaced()
+                                                       ? search_scope::everywhere
+                                                       : search_scope::region);
+    }
+  }
+
+  /// @brief Whether no candidate can be chosen and at least one is held back because it is cold.
+  bool only_cold_ones_answered() const {
+    const auto& probed = probed_candidates();
+    return std::ranges::none_of(probed,
+                                [](const candidate& one) { return one.probe.has_value(); }) &&
+           std::ranges::any_of(probed, [&](const candidate& one) {
+             return state_.is_cold(one.id) && !state_.within_limit(one.id);
+           });
+  }
+
   asio::awaitable<void> probe_and_place(std::vector<candidate> candidates, search_scope scope) {
     const bool far = scope == search_scope::everywhere && !area_.own_region_replaced();
     if (probes_lack_load_) {
