--- a/src/catkintack/serving/caller_identity_test.cpp
+++ b/src/catkintack/serving/caller_identity_test.cpp
@@ -37,19 +37,28 @@
   return std::move(builder).build();
 }
 
-const routes::route closed_route{.name = routes::route_id("closed")};
-const routes::route public_route{.name = routes::route_id("public"), .is_public = true};
+routes::route make_route(bool is_public) {
+  routes::route result;
+  result.is_public = is_public;
+  return result;
+}
 
 caller_identity customer(const char* id) { return {.customer = base::customer_id(id)}; }
 caller_identity refusal(identity_refusal why) { return {.refusal = why}; }
 
+class caller_identity_test : public testing::Test {
+ protected:
+  const routes::route closed_route = make_route(false);
+  const routes::route public_route = make_route(true);
+};
+
 struct identity_case {
   std::vector<header> headers;
   identity_refusal refusal;
 };
 
 // Guards against callers that get in without a customer's key.
-TEST(caller_identity, bad_credentials_are_refused_except_on_public_routes) {
+TEST_F(caller_identity_test, bad_credentials_are_refused_except_on_public_routes) {
   const std::vector<identity_case> cases = {
       {{}, identity_refusal::no_key},
       {{{"X-Authorization", "Bearer k1"}}, identity_refusal::no_key},
@@ -83,7 +92,7 @@
   }
 }
 
-TEST(caller_identity, each_key_of_a_customer_names_it_on_every_route) {
+TEST_F(caller_identity_test, each_key_of_a_customer_names_it_on_every_route) {
   const routes::route_table table = make_table();
   for (const char* text : {"Bearer k1", "bEARER k2", "Bearer   k1"}) {
     const http::fields headers = make_headers({{"aUTHORIZATION", text}});
@@ -93,7 +102,8 @@
 }
 
 // Guards against a host that lets anybody in because its table has no customers yet.
-TEST(caller_identity, table_without_customers_lets_calls_in_only_if_the_deployment_has_none) {
+TEST_F(caller_identity_test,
+       table_without_customers_lets_calls_in_only_if_the_deployment_has_none) {
   const routes::route_table table = make_table(false);
   const http::fields headers = make_headers({{"Authorization", "Bearer k1"}});
   constexpr auto required = customer_requirement::always;
@@ -109,7 +119,7 @@
 
 // Guards against a relayed call that runs for nobody, for a removed customer, or for one that only
 // the caller of a host without customers has named.
-TEST(caller_identity, relayed_call_needs_the_name_of_one_known_customer) {
+TEST_F(caller_identity_test, relayed_call_needs_the_name_of_one_known_customer) {
   const routes::route_table table = make_table();
   const std::string name(customer_header);
   const std::vector<std::vector<header>> bad = {{},
@@ -134,10 +144,10 @@
   }
 }
 
-TEST(caller_identity, responses_have_the_status_and_the_challenge) {
-  for (const auto why : {identity_refusal::no_key, identity_refusal::several_keys,
-                         identity_refusal::other_scheme, identity_refusal::malformed_key,
-                         identity_refusal::unknown_key}) {
+TEST_F(caller_identity_test, responses_have_the_status_and_the_challenge) {
+  for (const auto why :
+       {identity_refusal::no_key, identity_refusal::several_keys, identity_refusal::other_scheme,
+        identity_refusal::malformed_key, identity_refusal::unknown_key}) {
     const std::string text = serialize(make_response(why), true);
     EXPECT_TRUE(text.starts_with("HTTP/1.1 401 Unauthorized\r\n")) << text;
     EXPECT_NE(text.find("WWW-Authenticate: Bearer\r\n"), std::string::npos) << text;
--- a/src/catkintack/serving/caller_session.cpp
+++ b/src/catkintack/serving/caller_session.cpp
@@ -89,19 +89,16 @@
   co_return !error;
 }
 
-asio::awaitable<void> caller_session::refuse(local_response response,
-                                              base::customer_id customer) {
+asio::awaitable<void> caller_session::refuse(local_response response, base::customer_id customer) {
   response.request_id_header = state_.options.protocol.request_id;
   if (peer_ == session_peer::host) {
     response.not_run_header = state_.options.protocol.not_run;
   }
   state_.metrics.add("own_answers_total{status=\"" + std::to_string(response.status) + "\"}");
-  state_.log.write(
-      "request_refused",
-      {{"request", response.request_id},
-       {"customer", customer.value()},
-       {"status", response.status},
-       {"why", response.body}});
+  state_.log.write("request_refused", {{"request", response.request_id},
+                                       {"customer", customer.value()},
+                                       {"status", response.status},
+                                       {"why", response.body}});
   state_.customers.on_refusal(customer, response.status);
   std::string text = serialize(response, true);
   const bool written = co_await write(std::move(text));
@@ -148,10 +145,10 @@
                                             ? customer_requirement::always
                                             : customer_requirement::by_table;
   const caller_identity identity =
-      received.relayed ? identify_relayed(*received.table, *received.route, received.headers,
-                                          customer_header, required)
-                       : identify_caller(*received.table, *received.route, received.headers,
-                                         required);
+      received.relayed
+          ? identify_relayed(*received.table, *received.route, received.headers, customer_header,
+                             required)
+          : identify_caller(*received.table, *received.route, received.headers, required);
   received.customer = identity.customer;
   received.has_customer_rules = has_customer_rules(*received.table, required);
   if (received.has_customer_rules) {
--- a/src/catkintack/serving/customer_path_test.cpp
+++ b/src/catkintack/serving/customer_path_test.cpp
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <boost/beast/http/write.hpp>
 #include <iterator>
 #include <sstream>
 
@@ -67,7 +68,8 @@
 }
 
 constexpr const char* smuggled =
-    "Catkintack-Customer: other\r\ncATKINTACK-cUSTOMER: other\r\nConnection: Catkintack-Customer\r\n";
+    "Catkintack-Customer: other\r\ncATKINTACK-cUSTOMER: other\r\nConnection: "
+    "Catkintack-Customer\r\n";
 
 /// @brief Makes one call on a new connection.
 std::string call_once(serving_fixture& world, const std::string& request) {
--- a/src/catkintack/serving/customer_statistics_test.cpp
+++ b/src/catkintack/serving/customer_statistics_test.cpp
@@ -26,8 +26,8 @@
   EXPECT_TRUE(has_line(statistics, "catkintack_customer_calls_total{others=\"1\"} 9980"));
   EXPECT_TRUE(has_line(statistics,
                        "catkintack_customer_refusals_total{customer=\"c10000\",status=\"503\"} 1"));
-  EXPECT_TRUE(has_line(statistics,
-                       "catkintack_customer_refusals_total{others=\"1\",status=\"429\"} 9980"));
+  EXPECT_TRUE(
+      has_line(statistics, "catkintack_customer_refusals_total{others=\"1\",status=\"429\"} 9980"));
   // 20 customers and the others, each with calls and refusals, and one more status.
   EXPECT_EQ(std::ranges::count(statistics.prometheus_text(), '\n'), 2 * 21 + 1);
 }
