--- a/include/catkintack/limits/quota_client.hpp
+++ b/include/catkintack/limits/quota_client.hpp
@@ -87,6 +87,8 @@
   const quota_lease& lease_of(std::size_t authority) const { return peers_[authority].lease; }
   /// @brief Whether the authorities answered this host before, and none does now.
   bool detached(base::instant now) const;
+  /// @brief Returns the fraction of each cap that this host may use while it is detached.
+  double own_share(base::instant now) const;
   std::uint64_t expired_tokens() const { return expired_tokens_; }  ///< Granted and not used.
 
  private:
@@ -144,7 +146,6 @@
   quota_verdict decide_detached(account& owner, base::instant now);
   void decide_closed(account& owner, base::instant now);
   void decide(account& owner, const quota_verdict& verdict);
-  double own_share(base::instant now) const;
   relation* answered(std::size_t authority,
                      const base::customer_id& customer,
                      base::instant asked_at);
