--- a/src/catkintack/limits/quota_fleet_test.cpp
+++ b/src/catkintack/limits/quota_fleet_test.cpp
@@ -365,3 +365,128 @@
 
 TEST(capped_fleet, bound_detects_shares_of_missing_hosts_that_are_not_reserved) {
   EXPECT_GT(worst_excess(mutant::share_not_reserved, make_policy(120, 60)), 0);
+}
+
+// Guards against hosts that refuse everything while they are cut off, and against a share that is
+// not available again afterwards.
+TEST(capped_fleet, hosts_that_are_cut_off_use_their_share) {
+  const routes::customer_policy policy = make_policy(120, 120);
+  capped_fleet fleet({.host_count = 30, .seed = 6});
+  call_source source(7);
+  fleet.set_policy(policy);
+  const base::instant start = fleet.now();
+  const auto count_until = [&](base::duration since, double per_second) {
+    const std::size_t before = fleet.admitted(policy.id).size();
+    while (fleet.now() - start < since) {
+      for (std::size_t calls = source.calls(per_second); calls > 0; --calls) {
+        fleet.call(policy, 20 + source.below(10));
+      }
+      fleet.step();
+    }
+    return static_cast<double>(fleet.admitted(policy.id).size() - before);
+  };
+  const auto set_cut = [&](bool is_cut) {
+    for (std::size_t i = 20; i < 30; ++i) {
+      fleet.cut(i, is_cut);
+    }
+  };
+  count_until(seconds(5), 10);
+  set_cut(true);
+  count_until(seconds(7), 100);
+  EXPECT_EQ(fleet.detached_count(), 10U);
+  EXPECT_GE(count_until(seconds(17), 100), 0.9 * 10 * policy.rate_per_second / 3);
+  set_cut(false);
+  count_until(seconds(19), 100);
+  EXPECT_EQ(fleet.detached_count(), 0U);
+  EXPECT_GE(count_until(seconds(29), 110), 0.97 * 10 * 110);
+}
+
+/// @brief Calls that a single token bucket at the cap would have admitted.
+class ideal_bucket {
+ public:
+  explicit ideal_bucket(const routes::customer_policy& policy)
+      : policy_(policy), tokens_(policy.burst) {}
+  void call(base::instant now) {
+    tokens_ = std::min<double>(
+        policy_.burst, tokens_ + policy_.rate_per_second * base::to_seconds(now - filled_at_));
+    filled_at_ = now;
+    if (tokens_ >= 1) {
+      tokens_ -= 1;
+      ++admitted_;
+    }
+  }
+  std::size_t admitted() const { return admitted_; }
+
+ private:
+  routes::customer_policy policy_;
+  double tokens_;
+  base::instant filled_at_{};
+  std::size_t admitted_ = 0;
+};
+
+struct usage {
+  double admitted = 0;
+  double ideal = 0;
+  double messages_per_second = 0;
+};
+
+/// @brief Usual load with bursts of 3 to 8 times for 1 s, whose callers use other hosts each
+/// second.
+usage run_bursts(fleet_options options, routes::customer_policy policy, double usual) {
+  capped_fleet fleet(options);
+  call_source source(options.seed + 1);
+  fleet.set_policy(policy);
+  ideal_bucket ideal(policy);
+  const base::instant start = fleet.now();
+  double factor = 1;
+  std::size_t first = 0;
+  constexpr base::duration span = seconds(24);
+  while (fleet.now() - start < span) {
+    const base::duration since = fleet.now() - start;
+    if (since % seconds(1) == base::duration(0)) {
+      const bool burst = since % seconds(8) == seconds(4);
+      factor = burst ? 3 + static_cast<double>(source.below(6)) : 1;
+      first = source.below(options.host_count);
+    }
+    const std::size_t count = source.calls(factor * usual);
+    for (std::size_t i = 0; i < count; ++i) {
+      ideal.call(fleet.now());
+      fleet.call(policy, (first + source.below(5)) % options.host_count);
+    }
+    fleet.step();
+  }
+  for (int i = 0; i < 100; ++i) {
+    fleet.step();
+  }
+  return {static_cast<double>(fleet.admitted(policy.id).size()),
+          static_cast<double>(ideal.admitted()),
+          static_cast<double>(fleet.messages()) / base::to_seconds(span)};
+}
+
+// Guards against refusals of calls below the cap when callers move to other hosts.
+TEST(capped_fleet, admits_what_is_below_the_cap_when_callers_move) {
+  for (const std::size_t hosts : {3U, 17U, 137U, 472U}) {
+    const double usual = hosts == 472 ? 20 : 40;
+    const auto burst = static_cast<std::uint32_t>(2 * usual);
+    const usage used =
+        run_bursts({.host_count = hosts, .seed = hosts}, make_policy(1.6 * usual, burst), usual);
+    EXPECT_GE(used.admitted, 0.97 * used.ideal) << hosts;
+    RecordProperty("admitted_of_ideal_" + std::to_string(hosts),
+                   std::to_string(used.admitted / used.ideal));
+    RecordProperty("messages_per_second_" + std::to_string(hosts),
+                   std::to_string(used.messages_per_second));
+  }
+}
+
+// Guards against refusals because no authority has a whole token of a small cap.
+TEST(capped_fleet, admits_small_customers_also_at_the_start) {
+  for (const std::size_t hosts : {17U, 137U}) {
+    const usage used = run_bursts({.host_count = hosts, .seed = hosts}, make_policy(3.2, 4), 2);
+    EXPECT_GE(used.admitted, 0.97 * used.ideal) << hosts;
+    RecordProperty("small_admitted_of_ideal_" + std::to_string(hosts),
+                   std::to_string(used.admitted / used.ideal));
+  }
+}
+
+}  // namespace
+}  // namespace catkintack::limits
