--- a/include/catkintack/choice/candidate.hpp
+++ b/include/catkintack/choice/candidate.hpp
@@ -18,9 +18,9 @@
 struct candidate {
   base::upstream_id id;
   upstream_distance distance = upstream_distance::same_region;
-  bool warming_up = false;              ///< Started recently and still slow.
-  /// This host has a permit for a call to it, which is cold. Permits lapse, and other hosts have been
-  /// refused this one, so it is preferred to faster candidates.
+  bool warming_up = false;  ///< Started recently and still slow.
+  /// This host has a permit for a call to it, which is cold. Permits lapse, and other hosts have
+  /// been refused this one, so it is preferred to faster candidates.
   bool permitted = false;
   bool outlier = false;                 ///< Failed calls recently, regardless of its probe results.
   std::uint32_t sent_since_probe = 0;   ///< Calls this host has sent since the probe.
--- a/include/catkintack/choice/send_permits.hpp
+++ b/include/catkintack/choice/send_permits.hpp
@@ -50,9 +50,7 @@
               limit_cause cause = limit_cause::named) const;
   /// @brief Uses up the permit for an upstream.
   /// @return False if there is none.
-  bool take(const base::upstream_id& id,
-            base::instant now,
-            limit_cause cause = limit_cause::named);
+  bool take(const base::upstream_id& id, base::instant now, limit_cause cause = limit_cause::named);
   /// @brief Returns when an upstream may next be sent to, at the earliest: the start of the permit,
   /// or the time of the next answer or question.
   base::instant next_chance(const base::upstream_id& id, base::instant now) const;
--- a/include/catkintack/directory/endpoint_directory.hpp
+++ b/include/catkintack/directory/endpoint_directory.hpp
@@ -29,8 +29,8 @@
   /// @brief An entry with its local timestamps.
   struct known_endpoint {
     endpoint listed;
-    base::instant first_seen;                         ///< When this incarnation was first seen.
-    base::instant warm_up_until;                      ///< End of the warm-up.
+    base::instant first_seen;     ///< When this incarnation was first seen.
+    base::instant warm_up_until;  ///< End of the warm-up.
     /// End of the warm-up that this incarnation reported itself. A listing that was written before
     /// does not shorten it.
     base::instant reported_warm_up_until = base::instant::min();
--- a/include/catkintack/serving/upstream_notice.hpp
+++ b/include/catkintack/serving/upstream_notice.hpp
@@ -27,7 +27,7 @@
   /// How much longer it is warming up, zero if it is warm. Empty if it says nothing or the value is
   /// malformed.
   std::optional<base::duration> warm_up_left{};
-  bool names_no_limit = false;   ///< A success without a limit, which ends an earlier one.
+  bool names_no_limit = false;  ///< A success without a limit, which ends an earlier one.
 };
 
 /// @brief The kind of response that a notice came with.
--- a/src/catkintack/choice/probe_selection.cpp
+++ b/src/catkintack/choice/probe_selection.cpp
@@ -19,9 +19,8 @@
     std::swap(candidates[i - 1], candidates[random() % i]);
   }
   std::ranges::stable_sort(candidates, {}, rank);
-  std::ranges::stable_partition(candidates, [](const candidate& entry) {
-    return entry.permitted && !entry.outlier;
-  });
+  std::ranges::stable_partition(
+      candidates, [](const candidate& entry) { return entry.permitted && !entry.outlier; });
   candidates.resize(std::min(candidates.size(), count));
   return candidates;
 }
--- a/src/catkintack/choice/send_permits.cpp
+++ b/src/catkintack/choice/send_permits.cpp
@@ -25,9 +25,7 @@
   return entry.cause == limit_cause::warming_up ? options_.warm_up_validity : options_.validity;
 }
 
-bool send_permits::usable(const base::upstream_id& id,
-                          base::instant now,
-                          limit_cause cause) const {
+bool send_permits::usable(const base::upstream_id& id, base::instant now, limit_cause cause) const {
   const auto found = records_.find(id);
   if (found == records_.end() || !found->second.permit_start) {
     return false;
--- a/src/catkintack/control/registry_replica.cpp
+++ b/src/catkintack/control/registry_replica.cpp
@@ -255,11 +255,6 @@
     result.table = *state_.table;
   }
   result.upstreams = state_.upstreams.entries();
-  for (directory::endpoint& upstream : result.upstreams) {
-    // The listed time was counted when the entry was written.
-    const base::instant end = state_.upstreams.find(upstream.record.id)->warm_up_until;
-    upstream.warm_up_left = std::max(end - state_.clock(), base::duration::zero());
-  }
   result.crashes = state_.crashes.entries();
   result.evacuations = state_.upstreams.evacuations();
   return result;
--- a/src/catkintack/serving/traffic_state.cpp
+++ b/src/catkintack/serving/traffic_state.cpp
@@ -25,8 +25,7 @@
 
 std::optional<choice::send_limit> traffic_state::send_limit_of(const base::upstream_id& id) const {
   const bool warming_up = upstreams.is_warming_up(id, clock());
-  const double rate =
-      warming_up ? warm_up_rate(upstreams.find(id)->listed.record.service) : 0;
+  const double rate = warming_up ? warm_up_rate(upstreams.find(id)->listed.record.service) : 0;
   return choice::limit_in_force(upstream_limits.limit_of(id), warming_up, rate);
 }
 
--- a/src/catkintack/serving/upstream_selection.cpp
+++ b/src/catkintack/serving/upstream_selection.cpp
@@ -275,17 +275,17 @@
     return result.decision.action == choice::placement_action::widen_search && !served_.caller_left;
   }
 
-  /// @brief Probes cold upstreams for which a permit arrived during the search, so that the call that
-  /// requested it can use it. At a low call rate, most permits would lapse before the next call.
+  /// @brief Probes cold upstreams for which a permit arrived during the search, so that the call
+  /// that requested it can use it. At a low call rate, most permits would lapse before the next
+  /// call.
   asio::awaitable<void> try_new_permits() {
     if (state_.warm_up_rate(service_) <= 0 || served_.caller_left) {
       co_return;
     }
     auto arrived = list_candidates(state_, service_, tried_, false);
     std::erase_if(arrived, [&](const candidate& one) {
-      return !one.permitted ||
-             std::ranges::find(probed_candidates(), one.id, &candidate::id) !=
-                 probed_candidates().end();
+      return !one.permitted || std::ranges::find(probed_candidates(), one.id, &candidate::id) !=
+                                   probed_candidates().end();
     });
     if (!arrived.empty()) {
       co_await probe_and_place(std::move(arrived), search_scope::region);
@@ -295,7 +295,8 @@
   /// @brief Whether no candidate can be chosen and at least one is held back because it is cold.
   bool only_cold_ones_answered() const {
     const auto& probed = probed_candidates();
-    return std::ranges::none_of(probed, [](const candidate& one) { return one.probe.has_value(); }) &&
+    return std::ranges::none_of(probed,
+                                [](const candidate& one) { return one.probe.has_value(); }) &&
            std::ranges::any_of(probed, [&](const candidate& one) {
              return state_.is_cold(one.id) && !state_.within_limit(one.id);
            });
--- a/src/catkintack/serving/warm_up_knowledge.cpp
+++ b/src/catkintack/serving/warm_up_knowledge.cpp
@@ -17,9 +17,8 @@
     return;
   }
   state.metrics.add(is_cold ? "upstreams_turned_cold_total" : "upstreams_turned_warm_total");
-  state.log.write(is_cold ? "upstream_cold" : "upstream_warm", {{"upstream", upstream.value()},
-                                                                {"left_us", left.count()},
-                                                                {"source", "probe"}});
+  state.log.write(is_cold ? "upstream_cold" : "upstream_warm",
+                  {{"upstream", upstream.value()}, {"left_us", left.count()}, {"source", "probe"}});
   drop_finished_warm_ups(state);
 }
 
