--- a/src/catkintack/serving/cold_upstream_fleet_test.cpp
+++ b/src/catkintack/serving/cold_upstream_fleet_test.cpp
@@ -146,9 +146,10 @@
     deliver(
         [this, index, max_ms, at = *authority, asked_at = now_, rate = limit->rate] {
           // The authority does not know that the upstream is cold.
-          const auto used = choice::limit_of_request(std::nullopt, rate);
+          const choice::send_limit used =
+              choice::limit_of_request(std::nullopt, rate).value_or(choice::send_limit{});
           const limits::send_reservation answer = authorities_[at].reserve_now(
-              press, base::request_rate(used->rate.per_second() / authority_count), now_);
+              press, base::request_rate(used.rate.per_second() / authority_count), now_);
           deliver(
               [this, index, at, asked_at, answer] {
                 if (answer.granted) {
