Identify the customer of each call by its key; no key leaves the host

Cause: the configuration lists customers, but calls were served without a key, upstreams got the caller's Authorization header, and a caller could name any customer to them.

Ruled out: removing both headers in every deployment (one without customers would no longer pass on Authorization); dropping them in request_head for each send (fingerprint, log and later kinds of sends would need the same care); a cache of identities per connection (a removed key would stay valid).

Change: serving/caller_identity decides from table, route and headers; caller_session asks it for each call with the newest table, before the body is read, and removes the credentials from the call. request_head adds the customer's name. The fingerprint has the customer's id in the place of the header. Relayed calls name their customer; a call without one, or with a key, gets 421.

--- a/include/catkintack/serving/call.hpp
+++ b/include/catkintack/serving/call.hpp
@@ -39,6 +39,9 @@
   base::duration elapsed_before_arrival{};
 
   base::customer_id customer;  ///< Empty if the configuration has no customers.
+  /// The rules for customers apply: `headers` has neither the caller's key nor a customer's name,
+  /// and the customer's name is sent instead.
+  bool has_customer_rules = false;
   /// Regions whose upstreams may serve the call, by its route and its customer; empty: all.
   std::vector<base::region_id> allowed_regions;
   bool allowed_nowhere = false;  ///< No region is allowed by both the route and the customer.
--- a/include/catkintack/serving/caller_session.hpp
+++ b/include/catkintack/serving/caller_session.hpp
@@ -3,9 +3,11 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 
 #include "catkintack/serving/call.hpp"
 #include "catkintack/serving/call_result.hpp"
+#include "catkintack/serving/caller_identity.hpp"
 #include "catkintack/serving/traffic_state.hpp"
 
 namespace catkintack::serving {
@@ -41,7 +43,10 @@
   asio::awaitable<bool> send_response(call_result& result, const call& served, bool close_after);
   asio::awaitable<bool> relay_remaining_body(exchange_result& upstream, const call& served);
   asio::awaitable<bool> write(std::string text);
-  asio::awaitable<void> refuse(local_response response);
+  asio::awaitable<void> refuse(local_response response, base::customer_id customer = {});
+  /// @brief Sets the customer of a call and removes the caller's credentials from it.
+  /// @return The refusal, if any.
+  std::optional<identity_refusal> identify(call& received);
   void watch_for_disconnect(const std::shared_ptr<call>& served);
   void cancel_disconnect_watch();
   routes::request_limits limits() const;
--- a/include/catkintack/serving/request_fingerprint.hpp
+++ b/include/catkintack/serving/request_fingerprint.hpp
@@ -8,7 +8,7 @@
 namespace catkintack::serving {
 
 /// @brief Returns the fingerprint of a call: equal for calls with the same method, host, target,
-/// credentials and body, whichever host receives them.
+/// credentials (with customers: customer) and body, whichever host receives them.
 ///
 /// The request id and the time left are not part of it, as they differ with each attempt of a
 /// caller. Of a body that is too large to be buffered, the first part and the length count.
--- a/include/catkintack/serving/serving_options.hpp
+++ b/include/catkintack/serving/serving_options.hpp
@@ -26,6 +26,9 @@
   base::region_id region;
   base::failure_domain_id failure_domain;
   upstream_protocol protocol;
+  /// The deployment has customers: with a table that lists none, calls are refused unless their
+  /// route is public.
+  bool requires_customers = false;
   choice::placement_options placement;
   choice::outlier_options outlier_detection;
   choice::permit_options permits;
--- a/include/catkintack/serving/status.hpp
+++ b/include/catkintack/serving/status.hpp
@@ -9,6 +9,7 @@
 inline constexpr unsigned multiple_choices = 300;
 inline constexpr unsigned not_modified = 304;
 inline constexpr unsigned bad_request = 400;
+inline constexpr unsigned unauthorized = 401;
 inline constexpr unsigned not_found = 404;
 inline constexpr unsigned request_timeout = 408;
 inline constexpr unsigned gone = 410;
--- a/include/catkintack/serving/traffic_state.hpp
+++ b/include/catkintack/serving/traffic_state.hpp
@@ -25,6 +25,7 @@
 #include "catkintack/logging/structured_log.hpp"
 #include "catkintack/routes/route_table.hpp"
 #include "catkintack/serving/connection_pool.hpp"
+#include "catkintack/serving/customer_statistics.hpp"
 #include "catkintack/serving/in_flight_sends.hpp"
 #include "catkintack/serving/limit_knowledge.hpp"
 #include "catkintack/serving/serving_options.hpp"
@@ -51,6 +52,7 @@
 
   connection_pool pool;
   choice::route_statistics route_statistics;
+  customer_statistics customers;
   choice::outlier_detector outlier_detector;
   choice::upstream_pauses pauses;
   choice::upstream_limits upstream_limits;
--- a/src/catkintack/routes/route_table_delta_test.cpp
+++ b/src/catkintack/routes/route_table_delta_test.cpp
@@ -92,5 +92,79 @@
   RC_ASSERT(sorted_routes(applied) == sorted_routes(after));
 }
 
+route_table with_customers(std::uint64_t version, const std::vector<customer_policy>& customers) {
+  route_table_builder builder{base::list_version(version)};
+  for (const customer_policy& one : customers) {
+    builder.add(one);
+  }
+  return std::move(builder).build();
+}
+
+std::vector<customer_policy> sorted_customers(const route_table& table) {
+  std::vector<customer_policy> result = table.customers();
+  std::ranges::sort(result, {}, &customer_policy::id);
+  return result;
+}
+
+// Guards against changes that send all of 10,000 customers to each host.
+TEST(route_table_delta, one_changed_customer_costs_one_customer) {
+  std::vector<customer_policy> customers;
+  for (int i = 0; i < 10000; ++i) {
+    const std::string text = std::to_string(i);
+    customers.push_back({.id = base::customer_id("c" + text), .key_hashes = {"k" + text}});
+  }
+  const route_table before = with_customers(1, customers);
+  customers[5000].key_hashes = {"new"};
+  customers.pop_back();
+  const route_table after = with_customers(2, customers);
+  const route_table_delta delta = difference(before, after);
+  EXPECT_EQ(delta.changed_customers, std::vector{customers[5000]});
+  EXPECT_EQ(delta.removed_customers, std::vector{base::customer_id("c9999")});
+  const route_table applied = apply_difference(before, delta).value_or(route_table());
+  EXPECT_EQ(sorted_customers(applied), sorted_customers(after));
+  EXPECT_EQ(applied.find_customer_by_key("k5000"), nullptr);
+  EXPECT_EQ(applied.find_customer_by_key("k9999"), nullptr);
+  EXPECT_NE(applied.find_customer_by_key("new"), nullptr);
+}
+
+// Guards against a key that still names the customer from which it was taken.
+TEST(route_table_delta, key_moves_from_one_customer_to_another) {
+  const customer_policy a{.id = base::customer_id("a"), .key_hashes = {"k1", "k2"}};
+  const customer_policy b{.id = base::customer_id("b")};
+  for (const bool forward : {true, false}) {
+    route_table before = with_customers(1, {a, b});
+    route_table after =
+        with_customers(2, {{.id = a.id, .key_hashes = {"k2"}}, {.id = b.id, .key_hashes = {"k1"}}});
+    const base::customer_id owner = forward ? b.id : a.id;
+    if (!forward) {
+      std::swap(before, after);
+    }
+    const route_table applied =
+        apply_difference(before, difference(before, after)).value_or(route_table());
+    ASSERT_NE(applied.find_customer_by_key("k1"), nullptr);
+    EXPECT_EQ(applied.find_customer_by_key("k1")->id, owner);
+  }
+}
+
+RC_GTEST_PROP(route_table_delta, applying_it_gives_the_later_customers, ()) {
+  const auto draw = [] {
+    std::vector<customer_policy> result;
+    for (int number = 0; number < 8; ++number) {
+      if (*rc::gen::arbitrary<bool>()) {
+        const std::string text = std::to_string(number);
+        result.push_back({.id = base::customer_id(text),
+                          .key_hashes = {text + (*rc::gen::arbitrary<bool>() ? "x" : "y")},
+                          .burst = *rc::gen::inRange(0U, 2U)});
+      }
+    }
+    return result;
+  };
+  const route_table before = with_customers(1, draw());
+  const route_table after = with_customers(2, draw());
+  const auto applied = apply_difference(before, difference(before, after));
+  RC_ASSERT(applied.has_value());
+  RC_ASSERT(sorted_customers(applied.value_or(route_table())) == sorted_customers(after));
+}
+
 }  // namespace
 }  // namespace catkintack::routes
--- a/src/catkintack/routes/route_table_test.cpp
+++ b/src/catkintack/routes/route_table_test.cpp
@@ -5,6 +5,8 @@
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
+#include <cmath>
+#include <limits>
 #include <sstream>
 
 #include "catkintack/routes/route_table_builder.hpp"
@@ -92,5 +94,49 @@
   EXPECT_EQ(route_table_builder(base::list_version()).find_error(), "the version is 0");
 }
 
+std::optional<std::string> error_with(const std::vector<customer_policy>& customers) {
+  route_table_builder builder = make_builder({});
+  for (const customer_policy& one : customers) {
+    builder.add(one);
+  }
+  return builder.find_error();
+}
+
+// Guards against a call that runs as the wrong one of two customers with the same key.
+TEST(route_table_builder, reports_invalid_customers) {
+  const customer_policy acme{.id = base::customer_id("acme"), .key_hashes = {"h1", "h2", "h1"}};
+  const customer_policy other{.id = base::customer_id("other"), .key_hashes = {"h3"}};
+  EXPECT_EQ(error_with({acme, other, {.id = base::customer_id("keyless")}}), std::nullopt);
+  customer_policy changed = other;
+  changed.key_hashes = {"h3", "h2"};
+  EXPECT_EQ(error_with({acme, changed}), "customer \"other\" has a key of customer \"acme\"");
+  EXPECT_EQ(error_with({acme, acme}), "customer \"acme\" is listed twice");
+  EXPECT_EQ(error_with({{.id = base::customer_id()}}), "a customer has no name");
+  for (const double rate : {-1.0, std::nan(""), std::numeric_limits<double>::infinity()}) {
+    changed = acme;
+    changed.rate_per_second = rate;
+    EXPECT_EQ(error_with({changed}),
+              "customer \"acme\" has a rate that is not a number of 0 or more");
+  }
+  EXPECT_NE(make_builder({})
+                .add(service_profile{.service = base::service_id("cold"), .warm_up_rate = -1})
+                .find_error(),
+            std::nullopt);
+}
+
+TEST(route_table, finds_customers_by_id_and_by_each_key) {
+  const route_table table =
+      std::move(make_builder({}).add(
+                    customer_policy{.id = base::customer_id("acme"), .key_hashes = {"h1", "h2"}}))
+          .build();
+  EXPECT_TRUE(table.has_customers());
+  for (const char* hash : {"h1", "h2"}) {
+    EXPECT_EQ(table.find_customer_by_key(hash), table.find_customer(base::customer_id("acme")));
+  }
+  EXPECT_EQ(table.find_customer_by_key("h3"), nullptr);
+  EXPECT_EQ(table.find_customer(base::customer_id("h1")), nullptr);
+  EXPECT_FALSE(route_table().has_customers());
+}
+
 }  // namespace
 }  // namespace catkintack::routes
--- a/src/catkintack/serving/caller_session.cpp
+++ b/src/catkintack/serving/caller_session.cpp
@@ -89,15 +89,17 @@
   co_return !error;
 }
 
-asio::awaitable<void> caller_session::refuse(local_response response) {
+asio::awaitable<void> caller_session::refuse(local_response response, base::customer_id customer) {
   response.request_id_header = state_.options.protocol.request_id;
   if (peer_ == session_peer::host) {
     response.not_run_header = state_.options.protocol.not_run;
   }
   state_.metrics.add("own_answers_total{status=\"" + std::to_string(response.status) + "\"}");
-  state_.log.write(
-      "request_refused",
-      {{"request", response.request_id}, {"status", response.status}, {"why", response.body}});
+  state_.log.write("request_refused", {{"request", response.request_id},
+                                       {"customer", customer.value()},
+                                       {"status", response.status},
+                                       {"why", response.body}});
+  state_.customers.on_refusal(customer, response.status);
   std::string text = serialize(response, true);
   const bool written = co_await write(std::move(text));
   if (written) {
@@ -137,6 +139,26 @@
   co_return !error;
 }
 
+std::optional<identity_refusal> caller_session::identify(call& received) {
+  const std::string& customer_header = state_.options.protocol.customer;
+  const customer_requirement required = state_.options.requires_customers
+                                            ? customer_requirement::always
+                                            : customer_requirement::by_table;
+  const caller_identity identity =
+      received.relayed
+          ? identify_relayed(*received.table, *received.route, received.headers, customer_header,
+                             required)
+          : identify_caller(*received.table, *received.route, received.headers, required);
+  received.customer = identity.customer;
+  received.has_customer_rules = has_customer_rules(*received.table, required);
+  if (received.has_customer_rules) {
+    // Nothing that handles the call later can then send, log or store a key.
+    received.headers.erase(http::field::authorization);
+    received.headers.erase(customer_header);
+  }
+  return identity.refusal;
+}
+
 asio::awaitable<std::shared_ptr<call>> caller_session::admit(request_parser& parser) {
   const auto& head = parser.get();
   const upstream_protocol& names = state_.options.protocol;
@@ -163,9 +185,22 @@
     co_await refuse(std::move(response));
     co_return nullptr;
   }
+  admitted->headers = head.base();
+  if (const auto refusal = identify(*admitted)) {
+    state_.metrics.add("identity_refusals_total{reason=\"" + std::string(to_text(*refusal)) +
+                       "\"}");
+    local_response refused = make_response(*refusal);
+    if (admitted->relayed) {
+      // The two hosts have different tables; the call may be served elsewhere.
+      refused.status = status::misdirected;
+    }
+    refused.request_id = admitted->id;
+    co_await refuse(std::move(refused));
+    co_return nullptr;
+  }
+  state_.customers.on_call(admitted->customer);
   admitted->method = std::string(to_string_view(head.method_string()));
   admitted->target = std::string(to_string_view(head.target()));
-  admitted->headers = head.base();
   const auto time_left = parse_non_negative(to_string_view(head[names.time_left]));
   const base::duration allowed =
       time_left ? base::duration(std::chrono::milliseconds(*time_left)) : admitted->route->timeout;
@@ -198,11 +233,11 @@
   if (error) {
     if (is_malformed(error)) {
       local_response response = error_response(error);
-      co_await refuse(std::move(response));
+      co_await refuse(std::move(response), admitted.customer);
     } else if (error == beast::error::timeout) {
       local_response timeout_response{.status = status::request_timeout,
                                       .body = "the body did not come in time\n"};
-      co_await refuse(std::move(timeout_response));
+      co_await refuse(std::move(timeout_response), admitted.customer);
     }
     co_return false;
   }
@@ -252,7 +287,11 @@
   state_.metrics.add("calls_total{route=\"" + served.route->name.value() + "\",by=\"" +
                      std::string(by) + "\",status=\"" + std::to_string(status) + "\"}");
   state_.metrics.observe("call_seconds", elapsed);
+  if (result.local) {
+    state_.customers.on_refusal(served.customer, status);
+  }
   state_.log.write("call_ended", {{"request", served.id},
+                                  {"customer", served.customer.value()},
                                   {"fingerprint", served.fingerprint.value()},
                                   {"route", served.route->name.value()},
                                   {"routes_version", served.table->version().value()},
--- a/src/catkintack/serving/exchange.cpp
+++ b/src/catkintack/serving/exchange.cpp
@@ -26,6 +26,9 @@
   head.add_forwarded(sent.headers, {protocol.time_left, protocol.expected_upstream, "Expect"});
   head.add(protocol.time_left, std::to_string(std::max<std::int64_t>(left.count(), 1)));
   head.add(protocol.expected_upstream, connection.upstream.value());
+  if (!sent.customer.empty()) {
+    head.add(protocol.customer, sent.customer.value());
+  }
   if (sent.has_body) {
     head.add_framing(sent.body_length);
   }
--- a/src/catkintack/serving/frontend_server.cpp
+++ b/src/catkintack/serving/frontend_server.cpp
@@ -94,7 +94,8 @@
       response = {.status = ready ? status::ok : status::unavailable,
                   .body = ready ? "ready\n" : "not ready\n"};
     } else if (target == metrics_path) {
-      response = {.status = status::ok, .body = state_.metrics.prometheus_text()};
+      response = {.status = status::ok,
+                  .body = state_.metrics.prometheus_text() + state_.customers.prometheus_text()};
     }
     const std::string text = serialize(response, !request.keep_alive());
     auto [write_error, written] = co_await asio::async_write(stream, asio::buffer(text), no_throw);
--- a/src/catkintack/serving/http_message.cpp
+++ b/src/catkintack/serving/http_message.cpp
@@ -104,6 +104,9 @@
   if (!response.not_run_header.empty()) {
     head.add(response.not_run_header, "1");
   }
+  if (!response.authenticate.empty()) {
+    head.add("WWW-Authenticate", response.authenticate);
+  }
   if (close) {
     head.add("Connection", "close");
   }
--- a/src/catkintack/serving/relay_call.cpp
+++ b/src/catkintack/serving/relay_call.cpp
@@ -49,6 +49,10 @@
         may_have_run_(may_have_run) {}
 
   asio::awaitable<call_result> run() {
+    if (!served_->has_customer_rules) {
+      // The other host may know customers already, and takes the header for this host's word.
+      served_->headers.erase(state_.options.protocol.customer);
+    }
     // The part of a streamed body that a host has consumed cannot be sent again.
     const int max_hosts = served_->read_more_body ? 1 : max_hosts_per_call;
     for (int left = max_hosts; left > 0 && !served_->caller_left; --left) {
--- a/src/catkintack/serving/request_fingerprint.cpp
+++ b/src/catkintack/serving/request_fingerprint.cpp
@@ -29,7 +29,10 @@
   add(*hash, received.method);
   add(*hash, to_string_view(received.headers[http::field::host]));
   add(*hash, received.target);
-  add(*hash, to_string_view(received.headers[http::field::authorization]));
+  // The fingerprint is sent to other hosts and stored, so that it must not depend on a key.
+  add(*hash, received.has_customer_rules
+                 ? std::string_view(received.customer.value())
+                 : to_string_view(received.headers[http::field::authorization]));
   add(*hash, std::to_string(received.body_length.value_or(0)));
   add(*hash, received.body);
   const XXH128_hash_t digest = XXH3_128bits_digest(hash.get());
