Keep the caps of customers over all hosts

Cause: a cap kept per host is exceeded by the fleet, and a static share per host refuses customers whose callers move between hosts.

Ruled out: a detached bucket that begins full (the authorities may have given out the burst just before), a heartbeat to one home authority only, and presence judged by arriving messages (replies may be lost).

--- a/include/catkintack/serving/caller_session.hpp
+++ b/include/catkintack/serving/caller_session.hpp
@@ -36,6 +36,9 @@
 
   asio::awaitable<bool> read_head(request_parser& parser);
   asio::awaitable<std::shared_ptr<call>> admit(request_parser& parser);
+  /// @brief Refuses a call of a caller whose customer is above its cap.
+  /// @return Whether the call may run.
+  asio::awaitable<bool> admit_within_cap(const call& admitted);
   asio::awaitable<bool> read_request_body(request_parser& parser, call& admitted);
   asio::awaitable<next_step> serve(request_parser& parser);
   asio::awaitable<bool> send_response(call_result& result, const call& served, bool close_after);
--- a/include/catkintack/serving/traffic_state.hpp
+++ b/include/catkintack/serving/traffic_state.hpp
@@ -26,7 +26,9 @@
 #include "catkintack/routes/route_table.hpp"
 #include "catkintack/serving/connection_pool.hpp"
 #include "catkintack/serving/in_flight_sends.hpp"
+#include "catkintack/serving/io.hpp"
 #include "catkintack/serving/limit_knowledge.hpp"
+#include "catkintack/serving/quota_decision.hpp"
 #include "catkintack/serving/serving_options.hpp"
 #include "catkintack/serving/stop_stage.hpp"
 
@@ -69,6 +71,8 @@
   std::function<void()> on_isolated;  ///< Called when this host reaches no upstream; may be unset.
   choice::relay_hosts relays;         ///< Hosts that can serve calls while this one is isolated.
   base::instant last_upstream_response = base::instant::min();  ///< To a call or a probe.
+  /// Decides whether a call is within the cap of its customer; unset: all are.
+  std::function<asio::awaitable<quota_decision>(const routes::customer_policy&)> admit_customer;
   limits::resend_budget repeats;
   limits::byte_budget remote_bytes;  ///< Budget for traffic between regions.
   in_flight_sends in_flight;
--- a/src/catkintack/serving/caller_session.cpp
+++ b/src/catkintack/serving/caller_session.cpp
@@ -181,6 +181,26 @@
   co_return admitted;
 }
 
+asio::awaitable<bool> caller_session::admit_within_cap(const call& admitted) {
+  // A relayed call was counted by the host that its caller is connected to.
+  if (peer_ == session_peer::host || !state_.admit_customer || admitted.customer.value().empty()) {
+    co_return true;
+  }
+  const routes::customer_policy* const policy = admitted.table->find_customer(admitted.customer);
+  if (policy == nullptr || policy->rate_per_second <= 0) {
+    co_return true;
+  }
+  const quota_decision decision = co_await state_.admit_customer(*policy);
+  if (!decision.admitted) {
+    local_response response{.status = decision.status,
+                            .body = "not run: " + decision.reason + "\n",
+                            .retry_after = decision.retry_after,
+                            .request_id = admitted.id};
+    co_await refuse(std::move(response));
+  }
+  co_return decision.admitted;
+}
+
 asio::awaitable<bool> caller_session::read_request_body(request_parser& parser, call& admitted) {
   if (!admitted.has_body) {
     co_return true;
@@ -356,6 +376,10 @@
   if (!served) {
     co_return next_step::close;
   }
+  const bool within_cap = co_await admit_within_cap(*served);
+  if (!within_cap) {
+    co_return next_step::close;
+  }
   const bool complete = co_await read_request_body(parser, *served);
   if (!complete) {
     co_return next_step::close;
