Tests: a third attempt, the byte budget and the search area of restricted calls

The resend test made two attempts, as the budget of one host holds one resend; it now refills it, so that a third search finds no allowed upstream left. The byte budget of a host must stay whole after calls to the allowed regions.

--- a/src/catkintack/choice/residence_test.cpp
+++ b/src/catkintack/choice/residence_test.cpp
@@ -4,6 +4,8 @@
 
 #include <initializer_list>
 
+#include "catkintack/choice/search_area.hpp"
+
 namespace catkintack::choice {
 namespace {
 
@@ -58,5 +60,27 @@
   EXPECT_EQ(regions({}).intersect(regions({})), regions({}));
 }
 
+// Guards against a host that holds calls for its own region, which must not serve them.
+TEST(search_area, allowed_regions_replace_an_own_region_without_allowed_upstreams) {
+  const base::region_id east("east");
+  const base::region_id west("west");
+  const base::region_id north("north");
+  const search_area outside(east, regions({"west"}), false);
+  EXPECT_TRUE(outside.own_region_replaced());
+  EXPECT_EQ(outside.place_of(east), search_place::excluded);
+  EXPECT_EQ(outside.place_of(west), search_place::near);
+  const search_area inside(east, regions({"east", "west"}), true);
+  EXPECT_FALSE(inside.own_region_replaced());
+  EXPECT_EQ(inside.place_of(east), search_place::near);
+  EXPECT_EQ(inside.place_of(west), search_place::far);
+  EXPECT_EQ(inside.place_of(north), search_place::excluded);
+  EXPECT_TRUE(search_area(east, regions({"east", "west"}), false).own_region_replaced());
+  // A call without a restriction is searched as before.
+  const search_area unrestricted(east, {}, false);
+  EXPECT_FALSE(unrestricted.own_region_replaced());
+  EXPECT_EQ(unrestricted.place_of(east), search_place::near);
+  EXPECT_EQ(unrestricted.place_of(west), search_place::far);
+}
+
 }  // namespace
 }  // namespace catkintack::choice
--- a/src/catkintack/serving/call_residence_test.cpp
+++ b/src/catkintack/serving/call_residence_test.cpp
@@ -88,7 +88,7 @@
 TEST(residence, caller_in_another_region_is_served_by_an_allowed_one) {
   serving_fixture world([](serving_options& options) {
     options.remote_bytes_per_second = 0;
-    options.remote_bytes_burst = 0;
+    options.remote_bytes_burst = 1000;
   });
   restrict_route(world, {"west"});
   auto& own = add_in(world, "east", "own");
@@ -112,6 +112,7 @@
   EXPECT_LE(probes, 2 * static_cast<int>(calls));
   EXPECT_EQ(own.received.size(), 0U);
   EXPECT_EQ(own.probes, 0);
+  EXPECT_TRUE(world.state.remote_bytes.can_spend(1000, world.state.clock()));
 }
 
 // Guards against a busy or failing allowed upstream that makes a resend leave the allowed regions.
@@ -119,10 +120,15 @@
   serving_fixture world;
   restrict_route(world, {"west"});
   world.fill_repeat_budget();
+  // Each refusal leaves budget for a further attempt; the third one finds no upstream left.
+  const auto refuse_each = [&world](const received_request& request) {
+    world.fill_repeat_budget();
+    return refuse_call(request);
+  };
   auto& own = add_in(world, "east", "own");
   auto& north = add_in(world, "north", "north");
-  auto& first = add_in(world, "west", "first", refuse_call);
-  auto& second = add_in(world, "west", "second", refuse_call);
+  auto& first = add_in(world, "west", "first", refuse_each);
+  auto& second = add_in(world, "west", "second", refuse_each);
   const std::string answer = call_once(world, "one");
   EXPECT_TRUE(answer.starts_with("HTTP/1.1 503")) << answer;
   EXPECT_EQ(first.received.size() + second.received.size(), 2U);
