Keep evacuations that a restored registry has lost for 15 s

Cause: after a restore that lost the key of an evacuation, it ended after the 2 s in which upstreams write their entries again (review of the merged parts); operators are slower, and calls would reach the evacuated upstreams. Two settings of the warm-up were read and used nowhere. Ruled out: keeping them until the operator acts, as an evacuation that ended during the outage would then never end on hosts that knew it. Change: an own grace period of 15 s; the unused settings are removed. The test has the new period.

--- a/include/catkintack/control/host_settings.hpp
+++ b/include/catkintack/control/host_settings.hpp
@@ -65,9 +65,6 @@
   base::duration quota_window{};
   double quota_overshoot = 0;  ///< Fraction by which a cap may be exceeded in a window.
   double quota_slack = 0;      ///< Calls by which it may be exceeded beyond that.
-  /// Factor and number of calls by which the warm-up rate of an upstream may be exceeded.
-  double warm_up_overshoot = 1;
-  double warm_up_slack = 0;
   /// Time from the registry's acceptance of an evacuation until it is in force on every host. 0:
   /// the deployment has no evacuations and no regions of residence.
   base::duration evacuation_limit{};
--- a/include/catkintack/control/registry_replica.hpp
+++ b/include/catkintack/control/registry_replica.hpp
@@ -21,6 +21,9 @@
   base::duration removal_grace = std::chrono::milliseconds(1000);
   /// How long entries that expired during a registry outage have to reappear after it.
   base::duration recovery_grace = std::chrono::milliseconds(2000);
+  /// How long evacuations that a restored registry has lost stay in force: operators take longer
+  /// than upstreams to write again.
+  base::duration evacuation_grace = std::chrono::seconds(15);
   /// Whether this host is a seed. Hop counts start at the seeds: other hosts watch the registry
   /// only for the time being.
   bool is_seed = false;
--- a/src/catkintack/control/read_host_settings.cpp
+++ b/src/catkintack/control/read_host_settings.cpp
@@ -173,8 +173,6 @@
       {"calls.shortest_return", false, duration_value(&host_settings::min_retry_after)},
       {"calls.longest_return", false, duration_value(&host_settings::max_retry_after)},
       {"upstreams.leaving_limit", false, duration_value(&host_settings::drain_timeout)},
-      {"upstreams.warm_up_overshoot", false, number_value(&host_settings::warm_up_overshoot)},
-      {"upstreams.warm_up_slack", false, number_value(&host_settings::warm_up_slack)},
       {"upstreams.evacuation_limit", false, duration_value(&host_settings::evacuation_limit)},
       {"customers.window", false, duration_value(&host_settings::quota_window)},
       {"customers.overshoot", false, number_value(&host_settings::quota_overshoot)},
--- a/src/catkintack/control/registry_replica.cpp
+++ b/src/catkintack/control/registry_replica.cpp
@@ -118,7 +118,8 @@
   const std::set<base::failure_domain_id> before = state_.upstreams.evacuations();
   const base::instant now = state_.clock();
   // The operators write again what a restored registry has lost.
-  state_.upstreams.replace_evacuations(listed, now, restored ? now + options_.recovery_grace : now);
+  state_.upstreams.replace_evacuations(listed, now,
+                                       restored ? now + options_.evacuation_grace : now);
   for (const base::failure_domain_id& domain : listed) {
     if (!before.contains(domain)) {
       log_evacuation("evacuation_began", domain, source);
--- a/src/catkintack/control/registry_replica_test.cpp
+++ b/src/catkintack/control/registry_replica_test.cpp
@@ -384,7 +384,7 @@
   const registry_revision restored{base::registry_era(1), 1};
   fixture.apply_snapshot(restored, {});
   EXPECT_TRUE(fixture.logged("evacuation_unconfirmed"));
-  fixture.now += milliseconds(1999);
+  fixture.now += milliseconds(14999);
   EXPECT_EQ(fixture.usable(), 0U);
   fixture.now += milliseconds(1);
   EXPECT_EQ(fixture.usable(), 1U);
