--- a/include/catkintack/limits/fair_share.hpp
+++ b/include/catkintack/limits/fair_share.hpp
@@ -28,7 +28,11 @@
 
   /// @brief Updates the saturation estimate of a service when an attempt ends.
   /// @param saturated Whether the attempt was queued or refused.
-  void record_saturation(const base::service_id& service, bool saturated);
+  void record_saturation(const base::service_id& service, bool saturated) {
+    record_saturation(service, saturated, options_.smoothing_factor);
+  }
+  /// @param weight Weight of this attempt in the estimate, 0 to 1.
+  void record_saturation(const base::service_id& service, bool saturated, double weight);
 
   /// @brief Returns whether a customer may start one more request; also marks it as active.
   /// @return False when the service is saturated and the customer holds its share.
@@ -42,6 +46,12 @@
   /// @brief Counts a request that ended.
   void ended(const base::service_id& service, const base::customer_id& customer);
 
+  /// @brief Returns the fraction of recent attempts that were queued or refused.
+  double saturated_ratio(const base::service_id& service) const;
+
+  /// @brief Returns the number of requests that a customer has in flight at a service.
+  std::uint32_t in_flight(const base::service_id& service, const base::customer_id& customer) const;
+
   /// @brief Removes customers that are inactive and have no requests in flight.
   void evict_idle(base::instant now);
 
--- a/src/catkintack/limits/fair_share.cpp
+++ b/src/catkintack/limits/fair_share.cpp
@@ -6,9 +6,9 @@
 
 fair_share::fair_share(fair_share_options options) : options_(options) {}
 
-void fair_share::record_saturation(const base::service_id& service, bool saturated) {
+void fair_share::record_saturation(const base::service_id& service, bool saturated, double weight) {
   double& ratio = services_[service].saturated_ratio;
-  ratio += options_.smoothing_factor * ((saturated ? 1.0 : 0.0) - ratio);
+  ratio += weight * ((saturated ? 1.0 : 0.0) - ratio);
 }
 
 bool fair_share::may_start(base::instant now,
@@ -25,6 +25,21 @@
   return active == 1 || state.customers[customer].in_flight < share;
 }
 
+double fair_share::saturated_ratio(const base::service_id& service) const {
+  const auto found = services_.find(service);
+  return found == services_.end() ? 0 : found->second.saturated_ratio;
+}
+
+std::uint32_t fair_share::in_flight(const base::service_id& service,
+                                    const base::customer_id& customer) const {
+  const auto found = services_.find(service);
+  if (found == services_.end()) {
+    return 0;
+  }
+  const auto own = found->second.customers.find(customer);
+  return own == found->second.customers.end() ? 0 : own->second.in_flight;
+}
+
 void fair_share::evict_idle(base::instant now) {
   for (auto& [service, state] : services_) {
     evict_idle(now, state);
