--- a/include/catkintack/limits/customer_share.hpp
+++ b/include/catkintack/limits/customer_share.hpp
@@ -5,6 +5,7 @@
 #include <compare>
 #include <cstdint>
 #include <map>
+#include <utility>
 
 #include "catkintack/base/ids.hpp"
 #include "catkintack/base/units.hpp"
@@ -18,8 +19,9 @@
   double min_saturation = 0.1;  ///< Nobody is refused below this fraction of saturated readings.
   /// Weight of older readings in that fraction falls by e in this time.
   base::duration reading_window = std::chrono::seconds(2);
-  /// Largest weight of one reading, for hosts that see few calls of a service.
-  double max_reading_weight = 0.1;
+  /// Largest weight of one reading, for hosts that see few calls of a service. Below
+  /// `min_saturation`, so that a single reading refuses nobody.
+  double max_reading_weight = 0.08;
   double min_served = 0.02;  ///< Least fraction of the demand that the shares add up to.
   /// Weight of older calls in the measured rates falls by e in this time. A host sees few calls of
   /// most customers, so a shorter time gives noise instead of rates.
@@ -28,8 +30,9 @@
   base::duration reading_timeout = std::chrono::seconds(3);
   base::duration level_interval = std::chrono::milliseconds(100);  ///< Between share updates.
   /// Least fraction of a customer's calls that is served, relative to that of all calls.
-  /// Requirement 1.6 says a quarter; the rest is a margin for the error of the measured rates.
-  double floor = 0.27;
+  /// Requirement 1.6 says a quarter. With 0.32 the simulated fleets served the lowest rank 0.24
+  /// times as often, as some of the calls within the floor find the queues of the upstreams full.
+  double floor = 0.36;
   /// Largest floor relative to an equal share, so that a customer cannot raise its floor without
   /// bound by sending more.
   double max_floor = 1.1;
@@ -83,6 +86,8 @@
     auto operator<=>(const flow_key&) const = default;
   };
 
+  static std::pair<std::uint32_t, std::uint32_t> rank_of(const flow_key& key);
+
   /// @brief Calls per second, weighted by age.
   struct rate_meter {
     double per_second = 0;
@@ -96,6 +101,7 @@
     double share = 0;                            ///< Calls per second.
     share_rule limit = share_rule::equal_share;  ///< The rule that bounds the share.
     double floor = 0;                            ///< Calls per second; part of the share.
+    bool limited = false;  ///< False if the whole demand of its rank is served.
     double tokens = 0;
     base::instant refilled_at{};
     base::instant seen_at{};
@@ -115,7 +121,7 @@
   void refill(base::instant now, flow& one) const;
   void update_shares(base::instant now, const base::service_id& service, service_state& state);
   void share_by_rank(service_state& state, double served_fraction) const;
-  static void limit_to_fleet_share(service_state& state, double served_fraction);
+  void limit_to_fleet_share(service_state& state, double served_fraction) const;
 
   customer_share_options options_;
   fair_share in_use_;  ///< Saturation and calls in flight.
--- a/include/catkintack/serving/traffic_state.hpp
+++ b/include/catkintack/serving/traffic_state.hpp
@@ -21,6 +21,7 @@
 #include "catkintack/choice/upstream_pauses.hpp"
 #include "catkintack/directory/endpoint_directory.hpp"
 #include "catkintack/limits/byte_budget.hpp"
+#include "catkintack/limits/customer_share.hpp"
 #include "catkintack/limits/resend_budget.hpp"
 #include "catkintack/logging/structured_log.hpp"
 #include "catkintack/routes/route_table.hpp"
@@ -71,6 +72,7 @@
   base::instant last_upstream_response = base::instant::min();  ///< To a call or a probe.
   limits::resend_budget repeats;
   limits::byte_budget remote_bytes;  ///< Budget for traffic between regions.
+  limits::customer_share shares;     ///< Of the customers at services short of capacity.
   in_flight_sends in_flight;
   /// Services whose probe responses carry no load header, so that probing gives no information.
   std::map<base::service_id, bool> probes_without_load;
--- a/include/catkintack/serving/upstream_selection.hpp
+++ b/include/catkintack/serving/upstream_selection.hpp
@@ -9,6 +9,7 @@
 #include "catkintack/choice/call_requirements.hpp"
 #include "catkintack/choice/placement.hpp"
 #include "catkintack/serving/call.hpp"
+#include "catkintack/serving/share_ticket.hpp"
 #include "catkintack/serving/traffic_state.hpp"
 
 namespace catkintack::serving {
@@ -25,10 +26,12 @@
 
 /// @brief Probes upstreams and holds the call until it can be sent or is refused.
 /// @param executor Executor of the probes.
+/// @param share Refuses, or allows to queue, a call of a customer while the service lacks capacity.
 /// @param tried Upstreams that are excluded because the call was sent to them before.
 asio::awaitable<upstream_selection> select_upstream(traffic_state& state,
                                                     asio::any_io_executor executor,
                                                     call& served,
+                                                    share_ticket& share,
                                                     base::service_id service,
                                                     const std::set<base::upstream_id>& tried);
 
--- a/src/catkintack/limits/customer_share.cpp
+++ b/src/catkintack/limits/customer_share.cpp
@@ -56,6 +56,10 @@
   per_second += 1 / base::to_seconds(window);
 }
 
+std::pair<std::uint32_t, std::uint32_t> customer_share::rank_of(const flow_key& key) {
+  return {key.customer_rank, key.route_rank};
+}
+
 customer_share::customer_share(customer_share_options options)
     : options_(options), in_use_({.customer_idle_timeout = options.rate_window}) {}
 
@@ -147,14 +151,11 @@
                          options_.max_floor * equal_level);
     left -= one.floor;
   }
-  const auto rank = [](const auto& at) {
-    return std::pair(at->first.customer_rank, at->first.route_rank);
-  };
   for (auto begin = state.flows.begin(); begin != state.flows.end();) {
     const bool highest = begin == state.flows.begin();
     std::vector<open_demand> rank_demands;
     auto end = begin;
-    for (; end != state.flows.end() && rank(end) == rank(begin); ++end) {
+    for (; end != state.flows.end() && rank_of(end->first) == rank_of(begin->first); ++end) {
       rank_demands.push_back({end->second.demand.per_second, end->second.floor});
     }
     const double level = max_min_level(rank_demands, std::max(0.0, left));
@@ -166,11 +167,12 @@
       left -= std::max(0.0, std::min(one.demand.per_second, level) - one.floor);
       // A customer below the level is not limited to its measured demand, which lags behind.
       one.share = std::max(one.floor, std::min(level, capacity));
+      one.limited = std::isfinite(level);
     }
   }
 }
 
-void customer_share::limit_to_fleet_share(service_state& state, double served_fraction) {
+void customer_share::limit_to_fleet_share(service_state& state, double served_fraction) const {
   if (state.slots == 0 || state.service_seconds <= 0) {
     return;
   }
@@ -185,17 +187,29 @@
       continue;  // Less than an equal share of the fleet.
     }
     // The other customers' calls at this host stand for their mix in the fleet.
-    const double others = std::max(0.0, capacity / served_fraction - own_demand);
-    std::vector<open_demand> wanted{{.demand = own_demand}};
+    const double scale = std::max(0.0, capacity / served_fraction - own_demand) /
+                         std::max(demand - own_demand, min_rate);
+    double left = capacity;
+    std::vector<open_demand> same_rank{{.demand = own_demand}};
+    std::vector<open_demand> all{{.demand = own_demand}};
     for (const auto& [key, one] : state.flows) {
-      if (key != own_key) {
-        wanted.push_back(
-            {.demand = others * one.demand.per_second / std::max(demand - own_demand, min_rate)});
+      const double other = scale * one.demand.per_second;
+      if (key == own_key) {
+        continue;
+      }
+      all.push_back({.demand = other});
+      if (rank_of(key) == rank_of(own_key)) {
+        same_rank.push_back({.demand = other});
+      } else {
+        left -= rank_of(key) < rank_of(own_key) ? other : scale * one.floor;
       }
     }
-    const double level = std::max(own.floor, max_min_level(wanted, capacity));
+    double level = max_min_level(same_rank, std::max(0.0, left));
+    // The floor was derived from the equal share at this host, which may be larger.
+    level = std::max(level, std::min(own.floor, options_.max_floor * max_min_level(all, capacity)));
     if (level < own.share) {
       own.share = level;
+      own.limited = true;
       own.limit = share_rule::fleet_share;
     }
   }
@@ -212,7 +226,7 @@
   flow& own = find_or_add(now, state, request);
   refill(now, own);
   result.share = own.share;
-  if (own.tokens < 1 && !state.sole) {
+  if (own.tokens < 1 && own.limited && !state.sole) {
     result.rule = own.limit;
     result.seconds_to_next = (1 - own.tokens) / std::max(own.share, min_rate);
   }
--- a/src/catkintack/limits/customer_share_test.cpp
+++ b/src/catkintack/limits/customer_share_test.cpp
@@ -186,17 +186,6 @@
   return std::ranges::min(customers, {}, &served_customer::ratio).ratio() / all;
 }
 
-void report(const char* name, int hosts, const std::vector<served_customer>& result) {
-  std::string text = std::string(name) + " hosts=" + std::to_string(hosts) +
-                     " jain=" + std::to_string(jain_index(result)) +
-                     " lowest=" + std::to_string(lowest_relative_ratio(result)) +
-                     " served=" + std::to_string(total(result, &served_customer::served)) + " [";
-  for (const auto& one : result) {
-    text += std::to_string(one.served) + "/" + std::to_string(one.owed) + " ";
-  }
-  std::cerr << text << "]\n";
-}
-
 constexpr int customer_count = 20;
 constexpr double usual = 20;
 constexpr std::uint32_t slots = 32;  ///< 320 calls per second: 0.8 of the usual load.
@@ -208,7 +197,6 @@
 
 void expect_fair(const char* name, int hosts, const std::vector<load>& loads) {
   const auto result = fleet(hosts, loads, slots).run();
-  report(name, hosts, result);
   EXPECT_GE(jain_index(result), 0.95) << name;
   EXPECT_GE(lowest_relative_ratio(result), 0.25) << name;
   EXPECT_GE(total(result, &served_customer::served), 0.9 * slots * 10) << name;
@@ -242,5 +230,103 @@
   expect_fair("one host, five times", GetParam(), loads);
 }
 
+TEST_P(fleet_of, shares_equally_among_customers_of_unequal_loads) {
+  std::vector<load> loads;
+  loads.reserve(customer_count);
+  for (int c = 0; c < customer_count; ++c) {
+    loads.push_back({.per_second = 6.0 + 3 * c});  // 6 to 63 calls/s, 690 in total.
+  }
+  expect_fair("unequal loads", GetParam(), loads);
+}
+
+// Guards against shares that keep capacity from the only customer that asks for it.
+TEST_P(fleet_of, unused_capacity_is_used_by_one_customer) {
+  std::vector<load> loads(customer_count, {.per_second = 2});
+  loads[3].per_second = 600;
+  const auto result = fleet(GetParam(), loads, slots).run();
+  const double capacity = slots * 10;
+  EXPECT_GE(total(result, &served_customer::served), 0.85 * capacity);
+  double small_offered = 0;
+  double small_served = 0;
+  for (std::size_t c = 0; c < result.size(); ++c) {
+    small_offered += c == 3 ? 0 : result[c].offered;
+    small_served += c == 3 ? 0 : result[c].served;
+  }
+  EXPECT_GE(small_served, 0.95 * small_offered);
+}
+
+TEST_P(fleet_of, refuses_nobody_without_saturation) {
+  std::vector<load> loads(customer_count, {.per_second = 5});
+  loads[3].per_second = 100;
+  fleet calm(GetParam(), loads, slots);
+  const auto result = calm.run();
+  EXPECT_EQ(calm.refused_by_share, 0);
+  EXPECT_GE(total(result, &served_customer::served),
+            0.98 * total(result, &served_customer::offered));
+}
+
+// Guards against a priority that is ignored, and against the starvation of the lowest one.
+TEST_P(fleet_of, serves_higher_ranks_first_and_starves_nobody) {
+  auto loads = usual_loads();
+  for (std::size_t c = 0; c < loads.size(); ++c) {
+    loads[c].rank = c < 10 ? 0 : 1;
+    loads[c].per_second *= 1.5;
+  }
+  const auto result = fleet(GetParam(), loads, slots).run();
+  for (std::size_t c = 0; c < 10; ++c) {
+    EXPECT_GE(result[c].ratio(), 0.8) << c;
+  }
+  EXPECT_GE(lowest_relative_ratio(result), 0.25);
+}
+
+TEST(fleet_check, fails_if_shares_are_ignored) {
+  auto loads = usual_loads();
+  loads[3].per_second *= 5;
+  EXPECT_LT(jain_index(fleet(17, loads, slots, true).run()), 0.95);
+}
+
+// Guards against a route priority that outweighs the customer's, or that is ignored.
+TEST(customer_share, compares_the_customer_before_the_route) {
+  customer_share shares;
+  base::instant now{std::chrono::seconds(1)};
+  const auto request = [](const char* customer, std::uint32_t rank, std::uint32_t route) {
+    return share_request{service, base::customer_id(customer), rank, route};
+  };
+  const auto first = request("a", 0, 9);
+  const auto second = request("b", 1, 0);
+  const auto third = request("b", 1, 5);
+  for (int i = 0; i < 300; ++i) {
+    now += std::chrono::milliseconds(100);
+    // 0.7 of the readings are saturated, which leaves a little over half of the demand.
+    shares.record_reading(now, service, i % 10 < 7);
+    for (const share_request& one : {first, second, third}) {
+      shares.arrived(now, one);
+    }
+  }
+  const share_decision of_first = shares.decide(now, first);
+  const share_decision of_second = shares.decide(now, second);
+  const share_decision of_third = shares.decide(now, third);
+  EXPECT_GT(of_first.share, 9);
+  EXPECT_GT(of_second.share, 1.5 * of_third.share);
+  EXPECT_GT(of_third.share, 0);
+}
+
+// Guards against refusals that rest on old readings, which would keep new ones from being taken.
+TEST(customer_share, old_readings_refuse_nobody) {
+  customer_share shares;
+  base::instant now{std::chrono::seconds(1)};
+  const share_request noisy{service, base::customer_id("noisy")};
+  const share_request quiet{service, base::customer_id("quiet")};
+  for (int i = 0; i < 100; ++i) {
+    shares.record_reading(now, service, true);
+    now += std::chrono::milliseconds(100);
+    shares.arrived(now, noisy);
+    shares.arrived(now, quiet);
+    shares.started(now, noisy);
+  }
+  EXPECT_FALSE(shares.decide(now, noisy).admitted);
+  EXPECT_TRUE(shares.decide(now + std::chrono::seconds(4), noisy).admitted);
+}
+
 }  // namespace
 }  // namespace catkintack::limits
--- a/src/catkintack/serving/call_runner.cpp
+++ b/src/catkintack/serving/call_runner.cpp
@@ -326,6 +326,7 @@
     // A relayed call counts once, at the host that received it from its caller.
     state.repeats.on_request(service, state.clock());
   }
+  share_ticket share(state, *served, service);
   call_progress progress;
   call_diagnostics diagnostics;
   for (;;) {
@@ -334,7 +335,7 @@
       co_return std::move(*settled);
     }
     upstream_selection selection =
-        co_await select_upstream(state, executor, *served, service, progress.tried);
+        co_await select_upstream(state, executor, *served, share, service, progress.tried);
     diagnostics.rounds = selection.rounds;
     diagnostics.held = state.clock() - served->arrived;
     diagnostics.expected = selection.decision.expected.total;
@@ -348,6 +349,7 @@
       state.pool.release(std::move(selection.connection), state.clock());
       co_return refuse_quarantined(state, *served, progress, diagnostics);
     }
+    share.start();
     progress.tried.insert(selection.upstream);
     diagnostics.attempts = ++progress.attempts;
     diagnostics.limit = state.upstream_limits.limit_of(selection.upstream);
--- a/src/catkintack/serving/crashing_request_test.cpp
+++ b/src/catkintack/serving/crashing_request_test.cpp
@@ -61,6 +61,33 @@
   EXPECT_NE(call_once(world, "other", "/p/x").find("hello"), std::string::npos);
 }
 
+// Guards against a resend of a request that the first attempt of the same call identified: the
+// check before the first attempt does not cover it. The other upstreams are full, so that a search
+// for one of them would end in the answer for a lack of upstreams.
+TEST(crashing_request, is_not_sent_again_by_the_call_whose_attempt_completes_the_evidence) {
+  serving_fixture world;
+  world.set_route(delivery_kind::at_most_once);
+  world.add("a", crash_on_poison);
+  for (const char* name : {"full-1", "full-2", "full-3", "full-4"}) {
+    world.add(name, crash_on_poison).load = "2,4,2,100";
+  }
+  call_once(world, "poison-0", "/p/poison");
+  ASSERT_TRUE(world.run_until([&] { return known_crashes(world) == 1; }));
+  const base::request_fingerprint suspect =
+      world.state.crashes.next_unreported().value_or(choice::crash_record{}).fingerprint;
+  world.state.crashes.add(suspect, {.upstream = base::upstream_id("elsewhere"), .run = {}},
+                          world.state.clock());
+  world.set_route(delivery_kind::repeatable, std::chrono::seconds(2), 2);
+  world.fill_repeat_budget();
+  world.add("b", crash_on_poison);
+  const std::string answer = call_once(world, "poison-1", "/p/poison");
+  EXPECT_TRUE(world.state.crashes.is_quarantined(suspect));
+  EXPECT_EQ(crashed_count(world), 2);
+  EXPECT_NE(answer.find("HTTP/1.1 502"), std::string::npos) << answer;
+  EXPECT_NE(answer.find("the upstreams that ran this request crashed"), std::string::npos)
+      << answer;
+}
+
 TEST(crashing_request, is_refused_at_once_while_others_are_served) {
   serving_fixture world;
   world.set_route(delivery_kind::at_most_once);
--- a/src/catkintack/serving/upstream_selection.cpp
+++ b/src/catkintack/serving/upstream_selection.cpp
@@ -163,11 +163,13 @@
   upstream_search(traffic_state& state,
                   asio::any_io_executor executor,
                   call& served,
+                  share_ticket& share,
                   base::service_id service,
                   const std::set<base::upstream_id>& tried)
       : state_(state),
         executor_(std::move(executor)),
         served_(served),
+        share_(share),
         service_(std::move(service)),
         tried_(tried),
         started_at_(state.clock()),
@@ -256,15 +258,18 @@
       }
       co_await round_->run(std::move(planned), health_path_);
     }
+    choice::placement_options placement = state_.options.placement;
+    placement.queue_new_calls = placement.queue_new_calls || share_.may_queue();
     result.decision = choice::place_call(probed_candidates(), scope,
                                          build_call_requirements(state_, served_, started_at_),
-                                         state_.options.placement, state_.random);
+                                         placement, state_.random);
     result.considered = format_candidates(probed_candidates());
   }
 
   traffic_state& state_;
   asio::any_io_executor executor_;
   call& served_;
+  share_ticket& share_;
   base::service_id service_;
   const std::set<base::upstream_id>& tried_;
   base::instant started_at_;
@@ -280,12 +285,18 @@
 asio::awaitable<upstream_selection> select_upstream(traffic_state& state,
                                                     asio::any_io_executor executor,
                                                     call& served,
+                                                    share_ticket& share,
                                                     base::service_id service,
                                                     const std::set<base::upstream_id>& tried) {
-  upstream_search search(state, executor, served, std::move(service), tried);
+  upstream_search search(state, executor, served, share, std::move(service), tried);
   asio::steady_timer pause(executor);
   for (;;) {
+    if (const auto refusal = share.refusal()) {
+      search.result.decision = *refusal;
+      co_return std::move(search.result);
+    }
     co_await search.run();
+    share.record_reading(search.result.decision);
     if (search.result.decision.action == choice::placement_action::send) {
       co_await search.connect_to_selected();
       if (search.result.connection || served.caller_left) {
