Tests of customer shares in the serving path and of the check before a resend

Cause: shares were untested in run_call; no test guarded the quarantine check before a resend. Change: share_ticket_test; crashing_request_test guards the check. It turned red with quarantine in settle_without_search checked only before the first attempt.

--- a/src/catkintack/serving/crashing_request_test.cpp
+++ b/src/catkintack/serving/crashing_request_test.cpp
@@ -67,22 +67,19 @@
 TEST(crashing_request, is_not_sent_again_by_the_call_whose_attempt_completes_the_evidence) {
   serving_fixture world;
   world.set_route(delivery_kind::at_most_once);
-  world.add("a", crash_on_poison);
   for (const char* name : {"full-1", "full-2", "full-3", "full-4"}) {
     world.add(name, crash_on_poison).load = "2,4,2,100";
   }
-  call_once(world, "poison-0", "/p/poison");
-  ASSERT_TRUE(world.run_until([&] { return known_crashes(world) == 1; }));
-  const base::request_fingerprint suspect =
-      world.state.crashes.next_unreported().value_or(choice::crash_record{}).fingerprint;
-  world.state.crashes.add(suspect, {.upstream = base::upstream_id("elsewhere"), .run = {}},
-                          world.state.clock());
+  for (int i = 0; i < 2; ++i) {
+    world.add("free-" + std::to_string(i), crash_on_poison);
+    call_once(world, "poison-" + std::to_string(i), "/p/poison");
+    ASSERT_TRUE(world.run_until([&] { return known_crashes(world) == i + 1; }));
+  }
   world.set_route(delivery_kind::repeatable, std::chrono::seconds(2), 2);
   world.fill_repeat_budget();
-  world.add("b", crash_on_poison);
-  const std::string answer = call_once(world, "poison-1", "/p/poison");
-  EXPECT_TRUE(world.state.crashes.is_quarantined(suspect));
-  EXPECT_EQ(crashed_count(world), 2);
+  world.add("free-2", crash_on_poison);
+  const std::string answer = call_once(world, "poison-2", "/p/poison");
+  EXPECT_EQ(crashed_count(world), 3);
   EXPECT_NE(answer.find("HTTP/1.1 502"), std::string::npos) << answer;
   EXPECT_NE(answer.find("the upstreams that ran this request crashed"), std::string::npos)
       << answer;
--- a/src/catkintack/serving/share_ticket_test.cpp
+++ b/src/catkintack/serving/share_ticket_test.cpp
@@ -29,7 +29,7 @@
         upstream(world.add("a", [](const received_request& request) -> scripted_reply {
           return {.bytes = valid_response(request, "hello")};
         })) {
-    upstream.load = "2,1,2,200";
+    upstream.load = "2,1,2,130";
     world.set_route(routes::delivery_kind::at_most_once);
   }
 
@@ -57,6 +57,7 @@
     served->method = "GET";
     served->target = "/p/x";
     served->headers.set(http::field::host, "a.example");
+    served->headers.set(world.state.options.protocol.request_id, served->id);
     served->table = world.state.table;
     served->route = &world.state.table->routes().front();
     served->arrived = world.state.clock();
@@ -111,8 +112,9 @@
 
 // Guards against a full service that refuses a customer which is below its share.
 TEST(share_ticket, customer_below_its_share_queues_at_a_full_service) {
+  full_service before_shortage;
+  EXPECT_FALSE(is_answered(before_shortage.run(quiet)));
   full_service host;
-  EXPECT_FALSE(is_answered(host.run(quiet)));
   host.make_short_of_capacity();
   EXPECT_TRUE(is_answered(host.run(quiet)));
 }
