--- a/include/catkintack/serving/traffic_state.hpp
+++ b/include/catkintack/serving/traffic_state.hpp
@@ -23,6 +23,7 @@
 #include "catkintack/choice/warm_up_limits.hpp"
 #include "catkintack/directory/endpoint_directory.hpp"
 #include "catkintack/limits/byte_budget.hpp"
+#include "catkintack/limits/customer_share.hpp"
 #include "catkintack/limits/resend_budget.hpp"
 #include "catkintack/logging/structured_log.hpp"
 #include "catkintack/routes/route_table.hpp"
@@ -79,6 +80,7 @@
   std::function<asio::awaitable<quota_decision>(const routes::customer_policy&)> admit_customer;
   limits::resend_budget repeats;
   limits::byte_budget remote_bytes;  ///< Budget for traffic between regions.
+  limits::customer_share shares;     ///< Of the customers at services short of capacity.
   in_flight_sends in_flight;
   /// Services whose probe responses carry no load header, so that probing gives no information.
   std::map<base::service_id, bool> probes_without_load;
