--- a/src/catkintack/control/quota_exchange_test.cpp
+++ b/src/catkintack/control/quota_exchange_test.cpp
@@ -17,8 +17,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const routes::customer_policy press_customer{
-    .id = base::customer_id("press-co"), .rate_per_second = 3, .burst = 3};
+const routes::customer_policy press_customer{.id = base::customer_id("press-co"),
+                                             .rate_per_second = 3,
+                                             .burst = 3};
 
 base::address free_udp_address() {
   asio::io_context io;
@@ -30,7 +31,11 @@
 struct quota_host {
   quota_host(asio::io_context& io, const base::address& self, std::vector<base::address> seeds)
       : io_context(io),
-        state({}, [this] { return now; }, base::seeded_random_hook(1), log),
+        state(
+            {},
+            [this] { return now; },
+            base::seeded_random_hook(1),
+            log),
         exchange(io, state, {.self = self, .authorities = std::move(seeds)}) {
     EXPECT_FALSE(exchange.open());
     set_customers({press_customer});
@@ -52,9 +57,8 @@
         asio::detached);
   }
   bool has_logged(const std::string& event) const {
-    return std::ranges::any_of(log_lines, [&](const std::string& line) {
-      return line.find(event) != std::string::npos;
-    });
+    return std::ranges::any_of(
+        log_lines, [&](const std::string& line) { return line.find(event) != std::string::npos; });
   }
 
   base::instant now{seconds(1000)};
