--- a/include/catkintack/control/host_settings.hpp
+++ b/include/catkintack/control/host_settings.hpp
@@ -65,6 +65,9 @@
   base::duration quota_window{};
   double quota_overshoot = 0;  ///< Fraction by which a cap may be exceeded in a window.
   double quota_slack = 0;      ///< Calls by which it may be exceeded beyond that.
+  /// Fraction of probes without a free slot from which a service is shared between customers.
+  /// Above 1: never.
+  double share_min_saturation = 2;
   /// Time from the registry's acceptance of an evacuation until it is in force on every host. 0:
   /// the deployment has no evacuations and no regions of residence.
   base::duration evacuation_limit{};
--- a/src/catkintack/choice/probe_selection.cpp
+++ b/src/catkintack/choice/probe_selection.cpp
@@ -19,8 +19,9 @@
     std::swap(candidates[i - 1], candidates[random() % i]);
   }
   std::ranges::stable_sort(candidates, {}, rank);
-  std::ranges::stable_partition(
-      candidates, [](const candidate& entry) { return entry.permitted && !entry.outlier; });
+  // The version of clang-tidy in use cannot compile std::ranges::stable_partition.
+  std::stable_partition(candidates.begin(), candidates.end(),
+                        [](const candidate& entry) { return entry.permitted && !entry.outlier; });
   candidates.resize(std::min(candidates.size(), count));
   return candidates;
 }
--- a/src/catkintack/control/permit_exchange.cpp
+++ b/src/catkintack/control/permit_exchange.cpp
@@ -37,7 +37,7 @@
   const auto limit = state_.send_limit_of(upstream);
   const auto authority =
       limit ? state_.permits.ask(upstream, limit->rate, now, limit->cause) : std::nullopt;
-  if (!authority) {
+  if (!limit || !authority) {
     return;
   }
   state_.metrics.add("permit_requests_total");
--- a/src/catkintack/control/permit_exchange_test.cpp
+++ b/src/catkintack/control/permit_exchange_test.cpp
@@ -209,14 +209,16 @@
                             .asked_at_us = 7,
                             .warm_up_rate = base::request_rate(3.4)};
   const std::string with_rate = encode(sent);
-  EXPECT_EQ(decode<permit_message>(with_rate)->warm_up_rate, base::request_rate(3.4));
+  const permit_message newer = decode<permit_message>(with_rate).value_or(permit_message{});
+  EXPECT_EQ(newer.warm_up_rate, base::request_rate(3.4));
   // An older build ends before the field: a flag and the number.
   const std::string older = with_rate.substr(0, with_rate.size() - 1 - sizeof(double));
   const auto decoded = decode<permit_message>(older);
-  ASSERT_TRUE(decoded);
-  EXPECT_EQ(decoded->warm_up_rate, std::nullopt);
-  EXPECT_EQ(decoded->upstream, press);
-  EXPECT_EQ(decoded->asked_at_us, 7);
+  ASSERT_TRUE(decoded.has_value());
+  const permit_message without_rate = decoded.value_or(permit_message{});
+  EXPECT_EQ(without_rate.warm_up_rate, std::nullopt);
+  EXPECT_EQ(without_rate.upstream, press);
+  EXPECT_EQ(without_rate.asked_at_us, 7);
 }
 
 // An authority of an older build grants at the limit that the upstream named, which is higher.
--- a/src/catkintack/control/read_host_settings.cpp
+++ b/src/catkintack/control/read_host_settings.cpp
@@ -177,6 +177,7 @@
       {"customers.window", false, duration_value(&host_settings::quota_window)},
       {"customers.overshoot", false, number_value(&host_settings::quota_overshoot)},
       {"customers.slack", false, number_value(&host_settings::quota_slack)},
+      {"customers.share_from", false, number_value(&host_settings::share_min_saturation)},
       {"stop.limit", false, duration_value(&host_settings::stop_limit)},
   };
 }
--- a/src/catkintack/control/relay_lookup_test.cpp
+++ b/src/catkintack/control/relay_lookup_test.cpp
@@ -170,15 +170,18 @@
 // Guards against an older build that takes messages for malformed, or that counts as a new one.
 TEST(relay_lookup, messages_pass_between_old_and_new_builds) {
   const older_relay_message old{.available = true, .region = base::region_id("west")};
-  const auto received = decode<relay_message>(encode(old));
-  ASSERT_TRUE(received);
-  EXPECT_EQ(received->region, old.region);
-  EXPECT_EQ(received->protocol_version, 0U);
+  const auto decoded = decode<relay_message>(encode(old));
+  ASSERT_TRUE(decoded.has_value());
+  const relay_message received = decoded.value_or(relay_message{});
+  EXPECT_EQ(received.region, old.region);
+  EXPECT_EQ(received.protocol_version, 0U);
   const relay_message current{.available = true, .other_hosts = {"10.0.0.1"}};
-  const auto received_by_old = decode<older_relay_message>(encode(current));
-  ASSERT_TRUE(received_by_old);
-  EXPECT_EQ(received_by_old->other_hosts, current.other_hosts);
-  EXPECT_EQ(decode<relay_message>(encode(current))->protocol_version, relay_protocol_version);
+  const auto decoded_by_old = decode<older_relay_message>(encode(current));
+  ASSERT_TRUE(decoded_by_old.has_value());
+  EXPECT_EQ(decoded_by_old.value_or(older_relay_message{}).other_hosts, current.other_hosts);
+  const auto decoded_again = decode<relay_message>(encode(current));
+  ASSERT_TRUE(decoded_again.has_value());
+  EXPECT_EQ(decoded_again.value_or(relay_message{}).protocol_version, relay_protocol_version);
 }
 
 // Guards against a lookup that ends with the offers of nearby hosts, while the configuration
