--- a/src/catkintack/serving/caller_session.cpp
+++ b/src/catkintack/serving/caller_session.cpp
@@ -61,6 +61,25 @@
          error != http::error::end_of_stream && error != http::error::partial_message;
 }
 
+/// @brief Sets what the head says about an admitted call, and its deadline.
+void read_head_fields(traffic_state& state, const request_parser& parser, call& admitted) {
+  const auto& head = parser.get();
+  admitted.method = std::string(to_string_view(head.method_string()));
+  admitted.target = std::string(to_string_view(head.target()));
+  const auto time_left = parse_non_negative(to_string_view(head[state.options.protocol.time_left]));
+  const base::duration allowed =
+      time_left ? base::duration(std::chrono::milliseconds(*time_left)) : admitted.route->timeout;
+  admitted.deadline = admitted.arrived + std::min(allowed, admitted.route->timeout);
+  if (time_left) {
+    admitted.elapsed_before_arrival =
+        state.route_statistics.on_deadline(admitted.route->name.value(), allowed);
+  }
+  admitted.has_body = parser.chunked() || head.count(http::field::content_length) > 0;
+  if (const auto length = parser.content_length()) {
+    admitted.body_length = *length;
+  }
+}
+
 }  // namespace
 
 caller_session::caller_session(traffic_state& state, beast::tcp_stream stream, session_peer peer)
@@ -200,20 +219,7 @@
     co_return nullptr;
   }
   state_.customers.on_call(admitted->customer);
-  admitted->method = std::string(to_string_view(head.method_string()));
-  admitted->target = std::string(to_string_view(head.target()));
-  const auto time_left = parse_non_negative(to_string_view(head[names.time_left]));
-  const base::duration allowed =
-      time_left ? base::duration(std::chrono::milliseconds(*time_left)) : admitted->route->timeout;
-  admitted->deadline = admitted->arrived + std::min(allowed, admitted->route->timeout);
-  if (time_left) {
-    admitted->elapsed_before_arrival =
-        state_.route_statistics.on_deadline(admitted->route->name.value(), allowed);
-  }
-  admitted->has_body = parser.chunked() || head.count(http::field::content_length) > 0;
-  if (const auto length = parser.content_length()) {
-    admitted->body_length = *length;
-  }
+  read_head_fields(state_, parser, *admitted);
   restrict_to_regions(
       *admitted, admitted->table->find_customer(admitted->customer),
       admitted->relayed ? read_relay_regions(admitted->headers) : choice::residence());
--- a/src/catkintack/serving/cold_upstream_fleet_test.cpp
+++ b/src/catkintack/serving/cold_upstream_fleet_test.cpp
@@ -138,7 +138,7 @@
     const auto limit = hosts_[index]->send_limit_of(press);
     const auto authority =
         limit ? hosts_[index]->permits.ask(press, limit->rate, now_, limit->cause) : std::nullopt;
-    if (!authority) {
+    if (!limit || !authority) {
       return;
     }
     // One authority is in the host's region.
--- a/src/catkintack/serving/relay_call.cpp
+++ b/src/catkintack/serving/relay_call.cpp
@@ -129,7 +129,7 @@
     ++result_.diagnostics.attempts;
     constexpr std::size_t max_buffered_response = 64U << 10U;
     state_.in_flight.begin(id, started_at);
-    served_->relay_regions = *allowed_text_;
+    served_->relay_regions = allowed_text_.value_or("");
     exchange_result attempt =
         co_await exchange(std::move(connection), *served_, state_.options.protocol,
                           served_->deadline - started_at, max_buffered_response);
