--- a/src/catkintack/choice/residence.cpp
+++ b/src/catkintack/choice/residence.cpp
@@ -10,8 +10,8 @@
   residence result;
   result.restricted_ = !listed.empty();
   std::ranges::sort(listed);
-  const auto repeated = std::ranges::unique(listed);
-  listed.erase(repeated.begin(), repeated.end());
+  // The version of clang-tidy in use cannot compile std::ranges::unique.
+  listed.erase(std::unique(listed.begin(), listed.end()), listed.end());
   result.regions_ = std::move(listed);
   return result;
 }
