--- a/src/catkintack/serving/call_runner.cpp
+++ b/src/catkintack/serving/call_runner.cpp
@@ -322,17 +322,22 @@
   return result;
 }
 
+/// @brief Adds a call to the budgets of resends and of probes for waiting calls.
+void count_call(traffic_state& state, const call& served, const base::service_id& service) {
+  if (!served.relayed) {
+    // A relayed call counts once, at the host that received it from its caller.
+    state.repeats.on_request(service, state.clock());
+  }
+  state.wait_probes.on_call();
+}
+
 }  // namespace
 
 asio::awaitable<call_result> run_call(traffic_state& state,
                                       asio::any_io_executor executor,
                                       std::shared_ptr<call> served) {
   const base::service_id service = pick_service(*served->route, state.random);
-  if (!served->relayed) {
-    // A relayed call counts once, at the host that received it from its caller.
-    state.repeats.on_request(service, state.clock());
-  }
-  state.wait_probes.on_call();
+  count_call(state, *served, service);
   share_ticket share(state, *served, service);
   call_progress progress;
   call_diagnostics diagnostics;
