Log each call that a planned stop cuts

A stop reported only how many calls it cut. The log could not tell calls that were running at an upstream from those that still waited, nor calls that arrived late in the stop from long ones that arrived before it.

`call_cut` names the request, the route, the upstreams at work on it, its arrival relative to the stop signal and the time left until its deadline. No decision changes.

--- a/include/catkintack/serving/caller_session.hpp
+++ b/include/catkintack/serving/caller_session.hpp
@@ -32,6 +32,8 @@
   bool idle();
   /// @brief Closes the connection immediately.
   void close();
+  /// @brief Logs the open call, if there is one, before the host stops without answering it.
+  void log_cut_call() const;
 
  private:
   enum class next_step { keep, close };
@@ -59,6 +61,7 @@
   beast::tcp_stream stream_;
   session_peer peer_;
   beast::flat_buffer buffer_;
+  std::shared_ptr<const call> open_call_;  ///< Null between calls.
   bool idle_ = true;
 };
 
--- a/include/catkintack/serving/traffic_state.hpp
+++ b/include/catkintack/serving/traffic_state.hpp
@@ -89,6 +89,7 @@
   /// Services whose probe responses carry no load header, so that probing gives no information.
   std::map<base::service_id, bool> probes_without_load;
   stop_stage stop = stop_stage::running;
+  base::instant stop_began;    ///< Set unless `stop` is running.
   std::size_t open_calls = 0;  ///< Calls received and not yet answered.
 
   /// @brief Whether an upstream may be sent calls and probes now.
--- a/src/catkintack/serving/caller_session.cpp
+++ b/src/catkintack/serving/caller_session.cpp
@@ -45,15 +45,25 @@
 /// @brief Counts a call as open until it has ended, also by an exception.
 class open_call {
  public:
-  explicit open_call(traffic_state& state) : state_(state) { ++state_.open_calls; }
+  open_call(traffic_state& state,
+            std::shared_ptr<const call>& current,
+            std::shared_ptr<const call> served)
+      : state_(state), current_(current) {
+    ++state_.open_calls;
+    current_ = std::move(served);
+  }
   open_call(const open_call&) = delete;
   open_call& operator=(const open_call&) = delete;
   open_call(open_call&&) = delete;
   open_call& operator=(open_call&&) = delete;
-  ~open_call() { --state_.open_calls; }
+  ~open_call() {
+    --state_.open_calls;
+    current_ = nullptr;
+  }
 
  private:
   traffic_state& state_;
+  std::shared_ptr<const call>& current_;
 };
 
 bool is_malformed(const error_code& error) {
@@ -346,6 +356,22 @@
                                   {"considered", result.diagnostics.considered}});
 }
 
+void caller_session::log_cut_call() const {
+  if (!open_call_) {
+    return;
+  }
+  std::string upstreams;
+  for (const upstream_connection* const one : open_call_->active_connections) {
+    upstreams += (upstreams.empty() ? "" : ",") + one->upstream.value();
+  }
+  state_.log.write("call_cut",
+                   {{"request", open_call_->id},
+                    {"route", open_call_->route->name.value()},
+                    {"upstream", upstreams},
+                    {"arrived_after_stop_us", (open_call_->arrived - state_.stop_began).count()},
+                    {"time_left_us", (open_call_->deadline - state_.clock()).count()}});
+}
+
 asio::awaitable<bool> caller_session::relay_remaining_body(exchange_result& upstream,
                                                            const call& served) {
   constexpr std::size_t piece_size = 32U << 10U;
@@ -439,7 +465,7 @@
     co_return next_step::close;
   }
   served->fingerprint = fingerprint_of(*served);
-  const open_call counted(state_);
+  const open_call counted(state_, open_call_, served);
   watch_for_disconnect(served);
   call_result result = co_await run_call(state_, stream_.get_executor(), served);
   cancel_disconnect_watch();
--- a/src/catkintack/serving/frontend_server.cpp
+++ b/src/catkintack/serving/frontend_server.cpp
@@ -142,22 +142,27 @@
     return;
   }
   state_.stop = stop_stage::draining;
+  state_.stop_began = state_.clock();
   state_.log.write("stop_begun", {{"open_calls", state_.open_calls}});
   spawn_task(io_.get_executor(), state_.log, "drain", drain(std::move(stopped)));
 }
 
 asio::awaitable<void> frontend_server::drain(std::function<void(std::size_t)> stopped) {
-  const base::instant started_at = state_.clock();
   co_await sleep_for(io_, state_.options.stop_accepting_after);
   state_.stop = stop_stage::refusing;
   caller_listener_.close();
   relay_listener_.close();
-  while (state_.clock() - started_at < state_.options.stop_limit) {
+  while (state_.clock() - state_.stop_began < state_.options.stop_limit) {
     if (close_idle()) {
       break;
     }
     co_await sleep_for(io_, drain_poll_interval);
   }
+  for (const auto& weak : sessions_) {
+    if (const auto session = weak.lock()) {
+      session->log_cut_call();
+    }
+  }
   state_.log.write("stopped", {{"calls_cut", state_.open_calls}});
   stopped(state_.open_calls);
 }
