Refuse calls that could outlast a planned stop

Cause: calls were accepted until 3.2 s after the signal and cut at the stop limit; nothing compared their end with it. Evidence: `call_cut` shows an upstream at work on each, arrivals of 3.020 to 3.160 s and 7.3 to 7.5 s left until the deadline. Ruled out: held or late sends (upstreams begin within milliseconds), a stop that ends before its limit (5.7 s).

Change: `ends_before_stop` on admission, in each round of a search, before each attempt and before a call is relayed. A deadline within the limit is always accepted; an estimate counts in the first 2.5 s only. Refusals are 503, 421 to a relaying host, and 502 after an attempt that may have run.

--- a/include/catkintack/serving/serving_options.hpp
+++ b/include/catkintack/serving/serving_options.hpp
@@ -72,6 +72,9 @@
   /// Time from the stop signal until connections are refused. The external load balancer stops
   /// sending new callers only after two failed health checks.
   base::duration stop_accepting_after = std::chrono::milliseconds(3200);
+  /// Time from the stop signal until an estimate no longer suffices to send a call to an upstream:
+  /// its deadline must then pass before stop_limit.
+  base::duration stop_estimates_for = std::chrono::milliseconds(2500);
   base::duration stop_limit = std::chrono::milliseconds(5700);  ///< Open calls are then aborted.
 };
 
--- a/src/catkintack/serving/call_runner.cpp
+++ b/src/catkintack/serving/call_runner.cpp
@@ -9,6 +9,7 @@
 #include "catkintack/serving/crash_check.hpp"
 #include "catkintack/serving/relay_call.hpp"
 #include "catkintack/serving/status.hpp"
+#include "catkintack/serving/stop_check.hpp"
 #include "catkintack/serving/task.hpp"
 #include "catkintack/serving/upstream_selection.hpp"
 
@@ -92,6 +93,20 @@
   return result;
 }
 
+/// @brief The final result of a call that could outlast the stop of this host.
+call_result refuse_for_stop(const traffic_state& state,
+                            const call& served,
+                            const call_progress& progress,
+                            const call_diagnostics& diagnostics) {
+  call_result result = give_up(state, served, progress, state.options.placement.min_retry_after,
+                               diagnostics, std::string(refused_for_stop));
+  if (served.relayed && result.local && !progress.may_have_run) {
+    // The host that relayed the call tries another one.
+    result.local->status = status::misdirected;
+  }
+  return result;
+}
+
 void log_attempt(traffic_state& state,
                  const call& served,
                  const upstream_selection& selection,
@@ -352,6 +367,10 @@
     diagnostics.held = state.clock() - served->arrived;
     diagnostics.expected = selection.decision.expected.total;
     diagnostics.considered = selection.considered;
+    if (!ends_before_stop(state, *served, selection.decision.expected.total)) {
+      state.pool.release(std::move(selection.connection), state.clock());
+      co_return refuse_for_stop(state, *served, progress, diagnostics);
+    }
     if (!selection.connection || served->caller_left) {
       co_return co_await settle_without_upstream(state, executor, served, progress, diagnostics,
                                                  selection);
--- a/src/catkintack/serving/caller_session.cpp
+++ b/src/catkintack/serving/caller_session.cpp
@@ -13,6 +13,7 @@
 #include "catkintack/serving/crash_check.hpp"
 #include "catkintack/serving/request_fingerprint.hpp"
 #include "catkintack/serving/status.hpp"
+#include "catkintack/serving/stop_check.hpp"
 #include "catkintack/serving/task.hpp"
 
 namespace catkintack::serving {
@@ -202,7 +203,9 @@
     response.status = admitted->relayed ? status::misdirected : status::unavailable;
     response.body =
         admitted->table ? "not run: this host stops\n" : "not run: no routes known yet\n";
-    response.retry_after = unready_retry_after;
+    // Other hosts serve while this one stops.
+    response.retry_after =
+        admitted->table ? state_.options.placement.min_retry_after : unready_retry_after;
     co_await refuse(std::move(response));
     co_return nullptr;
   }
@@ -238,6 +241,13 @@
     co_await refuse(std::move(*refusal));
     co_return nullptr;
   }
+  if (!ends_before_stop(state_, *admitted)) {
+    response.status = admitted->relayed ? status::misdirected : status::unavailable;
+    response.body = refused_for_stop;
+    response.retry_after = state_.options.placement.min_retry_after;
+    co_await refuse(std::move(response), admitted->customer);
+    co_return nullptr;
+  }
   co_return admitted;
 }
 
--- a/src/catkintack/serving/isolation_test.cpp
+++ b/src/catkintack/serving/isolation_test.cpp
@@ -242,5 +242,40 @@
   EXPECT_TRUE(caller.wait_for("hello"));
 }
 
+/// @brief Begins a stop in which a call with a deadline of 4 s may outlast the stop limit.
+void begin_short_stop(serving_fixture& host) {
+  host.state.options.stop_estimates_for = {};
+  host.state.options.stop_limit = std::chrono::seconds(1);
+  host.front.stop([](std::size_t) {});
+}
+
+// Guards against a stopping host that takes calls of other hosts and cuts them (incident 13).
+TEST(isolation, stopping_host_does_not_take_relayed_calls_that_may_outlast_it) {
+  split_fleet fleet;
+  fleet.isolate();
+  for (serving_fixture* const host : {&fleet.cut_off, &fleet.neighbour}) {
+    host->set_route(delivery_kind::at_most_once, std::chrono::seconds(60), 2);
+  }
+  const std::size_t runs = fleet.runs();
+  begin_short_stop(fleet.neighbour);
+  const std::string answer = fleet.call_once("one");
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 503")) << answer;
+  EXPECT_TRUE(has_logged(fleet.neighbour, "request_refused"));
+  EXPECT_EQ(fleet.runs(), runs);
+}
+
+// Guards against a stopping host that relays calls which may outlast it (incident 13).
+TEST(isolation, stopping_host_does_not_relay_calls_that_may_outlast_it) {
+  split_fleet fleet;
+  fleet.isolate();
+  fleet.cut_off.set_route(delivery_kind::at_most_once, std::chrono::seconds(60), 2);
+  const std::size_t runs = fleet.runs();
+  begin_short_stop(fleet.cut_off);
+  const std::string answer = fleet.call_once("one");
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 503")) << answer;
+  EXPECT_NE(answer.find("this host stops"), std::string::npos) << answer;
+  EXPECT_EQ(fleet.runs(), runs);
+}
+
 }  // namespace
 }  // namespace catkintack::serving
--- a/src/catkintack/serving/relay_call.cpp
+++ b/src/catkintack/serving/relay_call.cpp
@@ -9,6 +9,7 @@
 #include "catkintack/serving/call_residence.hpp"
 #include "catkintack/serving/exchange.hpp"
 #include "catkintack/serving/status.hpp"
+#include "catkintack/serving/stop_check.hpp"
 #include "catkintack/serving/upstream_connection.hpp"
 
 namespace catkintack::serving {
@@ -71,6 +72,11 @@
         log(*host, "no connection");
         continue;
       }
+      if (!ends_before_stop(state_, *served_)) {
+        state_.pool.release(std::move(connection), state_.clock());
+        refuse(std::string(refused_for_stop), state_.options.placement.min_retry_after);
+        co_return std::move(result_);
+      }
       const bool final = co_await send(*host, std::move(connection));
       if (final) {
         co_return std::move(result_);
--- a/src/catkintack/serving/upstream_selection.cpp
+++ b/src/catkintack/serving/upstream_selection.cpp
@@ -9,6 +9,7 @@
 #include "catkintack/serving/call_residence.hpp"
 #include "catkintack/serving/open_connection.hpp"
 #include "catkintack/serving/probe_round.hpp"
+#include "catkintack/serving/stop_check.hpp"
 
 namespace catkintack::serving {
 namespace {
@@ -456,6 +457,10 @@
       search.result.decision = *refusal;
       co_return std::move(search.result);
     }
+    if (!ends_before_stop(state, served, base::duration::zero())) {
+      search.result.decision = {};
+      co_return std::move(search.result);
+    }
     co_await search.run();
     share.record_reading(search.result.decision);
     if (search.result.decision.action == choice::placement_action::send) {
