catkintackd: refuse requests that could outlast a planned stop

A leaving host now refuses requests whose deadline passes after the limit: as not run if it owns the id or needs none, as unknown if it would have to forward them, since an earlier copy may have run at their own host. Repeats of known ids are answered as before.

--- a/include/catkintack/gateway/gateway.hpp
+++ b/include/catkintack/gateway/gateway.hpp
@@ -106,6 +106,7 @@
 
   void on(base::instant now, const forward_ended& event);
   void on(base::instant now, const probe_ended& event);
+  void on(base::instant now, const leave_begun& event);
   void on(base::instant now, const stop_begun& event);
   void on(base::instant now, const handed_over& event);
   void on(base::instant now, const successor_named& event);
@@ -123,6 +124,8 @@
                       const delivery::final_response& response);
   void expire_waiting_repeats(base::instant now);
   base::instant deadline_of(base::instant now, const call_arrived& event) const;
+  /// @brief Whether the planned stop of this host could cut a call that is started now.
+  bool may_be_cut(base::instant now, const call_arrived& event) const;
 
   // Admission, in gateway_admission.cpp.
   void admit(base::instant now, const call_arrived& event);
@@ -173,6 +176,7 @@
   base::instant next_probe_at_ = base::instant::min();
   std::unordered_map<base::call_id, call> calls_;
   std::vector<gateway_action> actions_;
+  std::optional<base::instant> cut_at_;  ///< Set while this host is leaving.
 
   std::map<delivery::host_incarnation, delivery::handed_over_table> handed_over_tables_;
   std::vector<delivery::host_incarnation> handed_over_table_order_;
--- a/include/catkintack/gateway/gateway_event.hpp
+++ b/include/catkintack/gateway/gateway_event.hpp
@@ -73,6 +73,12 @@
   std::optional<delivery::final_response> response;
 };
 
+/// @brief This host is leaving: open calls are cut at a time, so that calls with later deadlines
+/// are no longer started.
+struct leave_begun {
+  base::instant cut_at{};
+};
+
 /// @brief A planned stop of this host has begun: requests with new ids are no longer run.
 struct stop_begun {};
 
@@ -107,6 +113,7 @@
                                    upstreams_listed,
                                    host_count_changed,
                                    forward_ended,
+                                   leave_begun,
                                    stop_begun,
                                    handed_over,
                                    successor_named,
--- a/src/catkintack/daemon/daemon.cpp
+++ b/src/catkintack/daemon/daemon.cpp
@@ -181,6 +181,7 @@
   control_->leave();
   traffic_->set_leaving();
   const base::instant deadline = clock_() + leave_announcement_period + settings_.stop_limit;
+  worker_->submit(gateway::leave_begun{deadline});
   wait_for_open_calls(deadline);
   const std::size_t open = worker_->open_calls();
   if (open > 0) {
--- a/src/catkintack/gateway/gateway_admission.cpp
+++ b/src/catkintack/gateway/gateway_admission.cpp
@@ -21,6 +21,11 @@
 }  // namespace
 
 void gateway::admit(base::instant now, const call_arrived& event) {
+  if (may_be_cut(now, event)) {
+    reject(event, unavailable_response("this host stops before the request could end; make a new "
+                                       "request id elsewhere"));
+    return;
+  }
   if (event.depth > options_.retries.max_depth) {
     reject(event, not_run_response(status_loop_detected,
                                    "the call crossed more than " +
--- a/src/catkintack/gateway/gateway_delivery.cpp
+++ b/src/catkintack/gateway/gateway_delivery.cpp
@@ -125,6 +125,13 @@
 }
 
 void gateway::forward(base::instant now, const call_arrived& event, const base::host_id& host) {
+  if (may_be_cut(now, event)) {
+    // An earlier copy of the request may have run at the other host.
+    respond_immediately(event,
+                        unknown_response("this host stops before the request could end; repeat it "
+                                         "at another host"));
+    return;
+  }
   recorder_("delivery", "forwarded", event.request, {{"home", host.value()}});
   forwarded_[event.call] = event.request;
   actions_.emplace_back(forward_call{event.call, host, deadline_of(now, event)});
@@ -143,6 +150,8 @@
   actions_.emplace_back(finish_call{event.call, response});
 }
 
+void gateway::on(base::instant /*now*/, const leave_begun& event) { cut_at_ = event.cut_at; }
+
 void gateway::on(base::instant /*now*/, const stop_begun& /*event*/) {
   registry_.close();
   recorder_("delivery", "closed", {}, {{"ids", std::to_string(registry_.size())}});
@@ -208,6 +217,10 @@
   }
 }
 
+bool gateway::may_be_cut(base::instant now, const call_arrived& event) const {
+  return cut_at_ && deadline_of(now, event) > *cut_at_;
+}
+
 base::instant gateway::deadline_of(base::instant now, const call_arrived& event) const {
   return now + event.time_left.value_or(options_.default_time_left);
 }
