Never send a cut request body again

Cause: an empty `read_more_body` was taken for "the whole body is in the buffer"; it is also empty once the body was streamed. Ruled out: a reader that ends early at the second attempt (the cut is always at the buffer's size).

Change: the call records that parts beyond the buffer were consumed, and retries, the watchdog for silent upstreams, relays and the search after a relay check it. A relay to a host that cannot be connected to consumes nothing and goes on to the next host.

--- a/include/catkintack/serving/call.hpp
+++ b/include/catkintack/serving/call.hpp
@@ -27,7 +27,8 @@
   std::string target;
   http::fields headers;
   std::string body;                          ///< The complete body, or the buffered first part.
-  body_reader read_more_body;                ///< Set when the body exceeds the buffer.
+  body_reader read_more_body;                ///< Set while more of the body follows the buffer.
+  bool body_consumed = false;                ///< Parts beyond the buffer were read and are gone.
   bool has_body = false;                     ///< True for an announced body, even an empty one.
   std::optional<std::uint64_t> body_length;  ///< Not set with chunked encoding.
 
@@ -55,6 +56,8 @@
   /// Connections on which an upstream is processing the call.
   std::set<upstream_connection*> active_connections;
 
+  /// @brief Whether the body can still be sent from its beginning.
+  bool can_be_sent() const { return !body_consumed; }
   /// @brief Whether the call may be executed more than once.
   bool repeatable() const { return route->delivery == routes::delivery_kind::repeatable; }
   /// @brief Records that the caller has disconnected. Aborts upstream requests in progress only if
--- a/src/catkintack/serving/call_runner.cpp
+++ b/src/catkintack/serving/call_runner.cpp
@@ -155,7 +155,7 @@
 
 /// @brief Whether a further attempt is possible, apart from the resend budget.
 bool may_try_again(const traffic_state& state, const call& served, const call_progress& progress) {
-  return !served.read_more_body && !served.caller_left &&
+  return served.can_be_sent() && !served.caller_left &&
          progress.attempts < served.route->max_attempts && state.clock() < served.deadline;
 }
 
@@ -361,6 +361,11 @@
     if (settled) {
       co_return std::move(*settled);
     }
+    if (!served->can_be_sent()) {
+      // A host that did not take the call has consumed its body.
+      co_return give_up(state, *served, progress, state.options.placement.min_retry_after,
+                        diagnostics);
+    }
     upstream_selection selection =
         co_await select_upstream(state, executor, *served, share, service, progress.tried);
     diagnostics.rounds = selection.rounds;
--- a/src/catkintack/serving/exchange.cpp
+++ b/src/catkintack/serving/exchange.cpp
@@ -56,6 +56,7 @@
   auto [error, written] =
       co_await asio::async_write(connection.stream, asio::buffer(text), no_throw);
   while (!error && sent.read_more_body) {
+    sent.body_consumed = true;
     auto [piece, body_error] = co_await sent.read_more_body();
     if (body_error) {
       co_return body_error;
--- a/src/catkintack/serving/relay_call.cpp
+++ b/src/catkintack/serving/relay_call.cpp
@@ -57,10 +57,9 @@
       // The other host may know customers already, and takes the header for this host's word.
       served_->headers.erase(state_.options.protocol.customer);
     }
-    // The part of a streamed body that a host has consumed cannot be sent again.
-    const int max_hosts = served_->read_more_body ? 1 : max_hosts_per_call;
     // A call whose regions cannot be stated to another host is not relayed.
-    for (int left = allowed_text_ ? max_hosts : 0; left > 0 && !served_->caller_left; --left) {
+    for (int left = allowed_text_ ? max_hosts_per_call : 0;
+         left > 0 && served_->can_be_sent() && !served_->caller_left; --left) {
       const auto host = co_await choose_host();
       if (!host) {
         break;
