Survive odd entries in the lists that hosts read

Reported by other operators: an entry that is deeply nested, has a number too large or a port out of range ends the hosts that read the list, or stops them from following it.

Seen here, each by a test that failed before: the host list of catkintackd and its plans and allowances end the process with a segmentation fault at 400,000 levels (the JSON library copies and writes recursively); one malformed upstream refuses the whole host list; the registry takes 2^32 + 2 slots for 2, -1 for 4,294,967,295, "nan" for a span, and a start time of 2^64 - 1 that outdates all later entries of the id. Ports out of range were refused.

--- a/include/catkintack/net/host_list.hpp
+++ b/include/catkintack/net/host_list.hpp
@@ -18,9 +18,10 @@
 struct host_list {
   std::vector<membership::gateway_record> gateways;
   std::vector<routing::upstream_record> upstreams;
+  std::vector<std::string> skipped;  ///< Why entries of upstreams were skipped as malformed.
 };
 
-/// @brief Parses the host list from JSON.
+/// @brief Parses the host list from JSON. Malformed entries of upstreams are skipped.
 /// @return The list, or a net_error of kind malformed that names the invalid value.
 boost::leaf::result<host_list> parse_host_list(const std::string& text);
 
--- a/src/catkintack/config/list_codec.cpp
+++ b/src/catkintack/config/list_codec.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "catkintack/config/parse_json.hpp"
+
 namespace catkintack::config {
 namespace {
 
@@ -95,7 +97,7 @@
 leaf::result<plans_list> parse_plans(const std::string& text) {
   plans_list list;
   try {
-    const json document = json::parse(text);
+    const json document = parse_json(text);
     list.version = base::list_version(document.at("version").get<std::uint64_t>());
     for (const json& value : document.at("customers")) {
       const customer entry = read_customer(value);
@@ -113,7 +115,7 @@
 leaf::result<allowances_list> parse_allowances(const std::string& text) {
   allowances_list list;
   try {
-    const json document = json::parse(text);
+    const json document = parse_json(text);
     list.version = base::list_version(document.at("version").get<std::uint64_t>());
     for (const json& value : document.at("allowances")) {
       const allowance entry = read_allowance(value);
--- a/src/catkintack/config/list_document.cpp
+++ b/src/catkintack/config/list_document.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "catkintack/config/list_codec.hpp"
+#include "catkintack/config/parse_json.hpp"
 
 namespace catkintack::config {
 namespace {
@@ -104,7 +105,7 @@
   }
   BOOST_LEAF_CHECK(check(kind, text));
   try {
-    const json value = json::parse(text);
+    const json value = parse_json(text);
     document.stamp = read_stamp(value);
     for (const json& record : value.value("history", json::array())) {
       document.history.push_back(read_record(record));
@@ -120,7 +121,12 @@
 
 leaf::result<std::map<std::string, std::string>> parse_entries(list_kind kind,
                                                                const std::string& text) {
-  json value = json::parse(text, nullptr, false);
+  json value;
+  try {
+    value = parse_json(text);
+  } catch (const json::exception&) {
+    value = json::value_t::discarded;  // parse_document reports the error.
+  }
   if (value.is_object()) {
     value["version"] = 0;
     value.erase("history");
--- a/src/catkintack/daemon/host_list_poller.cpp
+++ b/src/catkintack/daemon/host_list_poller.cpp
@@ -46,6 +46,9 @@
         }
         BOOST_LEAF_AUTO(hosts, net::parse_host_list(text));
         last_text_ = std::move(text);
+        for (const std::string& reason : hosts.skipped) {
+          logging::log(logging::log_level::warning, "host-list", reason);
+        }
         hooks_.on_host_list(std::move(hosts));
         return {};
       },
--- a/src/catkintack/net/host_list.cpp
+++ b/src/catkintack/net/host_list.cpp
@@ -5,6 +5,8 @@
 #include <limits>
 #include <nlohmann/json.hpp>
 
+#include "catkintack/config/parse_json.hpp"
+
 namespace catkintack::net {
 namespace {
 
@@ -39,8 +41,9 @@
   constexpr std::uint64_t max_slots = std::numeric_limits<std::uint32_t>::max();
   const bool is_unsigned = slots.is_number_unsigned();
   if (!is_unsigned || slots.get<std::uint64_t>() == 0 || slots.get<std::uint64_t>() > max_slots) {
-    return malformed("host list: slots is " + slots.dump() +
-                     "; expected an integer from 1 to 4294967295");
+    const std::string found =
+        slots.is_number() ? slots.dump() : std::string("a value of type ") + slots.type_name();
+    return malformed("host list: slots is " + found + "; expected an integer from 1 to 4294967295");
   }
   return slots.get<std::uint32_t>();
 }
@@ -69,22 +72,42 @@
   return record;
 }
 
+leaf::error_id malformed(const json::exception& error) {
+  return malformed(std::string("host list: malformed document: ") + error.what());
+}
+
+/// @brief Adds an upstream to the list, or the reason why its entry is skipped: a malformed entry
+/// of one writer must not hide the others.
+void add_upstream(const json& entry, host_list& list) {
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        try {
+          BOOST_LEAF_AUTO(record, read_upstream(entry));
+          list.upstreams.push_back(std::move(record));
+        } catch (const json::exception& error) {
+          return malformed(error);
+        }
+        return {};
+      },
+      [&](const net_error& error) { list.skipped.push_back(error.message); },
+      [&] { list.skipped.emplace_back("host list: malformed upstream"); });
+}
+
 }  // namespace
 
 leaf::result<host_list> parse_host_list(const std::string& text) {
   host_list list;
   try {
-    const json document = json::parse(text);
+    const json document = config::parse_json(text);
     for (const json& entry : document.at("gateways")) {
       BOOST_LEAF_AUTO(record, read_gateway(entry));
       list.gateways.push_back(std::move(record));
     }
     for (const json& entry : document.at("upstreams")) {
-      BOOST_LEAF_AUTO(record, read_upstream(entry));
-      list.upstreams.push_back(std::move(record));
+      add_upstream(entry, list);
     }
   } catch (const json::exception& error) {
-    return malformed(std::string("host list: malformed document: ") + error.what());
+    return malformed(error);
   }
   return list;
 }
