Close connections on which a refusal could come again

Reported by other operators: an upstream writes an earlier refusal once more on a kept connection; callers are told "not run" for calls that ran, or these run at a second upstream.

Seen here with scripted upstreams: a copy without the request's id, 503 or 421, of a call or of a probe, is taken for the answer to the next call. Copies with the id are dropped already. catkintackd takes any copy for the refusal of the next request.

Change: the connection is closed after a refusal that could not be matched later: without the id, of a probe, or any at catkintackd.

--- a/src/catkintack/net/upstream_client.cpp
+++ b/src/catkintack/net/upstream_client.cpp
@@ -157,10 +157,13 @@
                                   bool cancelled,
                                   http_response response) {
     if (status == http_exchange_status::complete) {
-      if (response.reusable && !cancelled) {
+      const bool reusable = response.reusable && !cancelled;
+      exchange_result end = to_exchange_result(std::move(response));
+      // A copy of a refusal could be taken for the refusal of the next request.
+      if (reusable && end.result != attempt_result::refused) {
         release(address, std::move(used));
       }
-      return to_exchange_result(std::move(response));
+      return end;
     }
     if (status == http_exchange_status::not_sent) {
       return make_failure(attempt_result::not_sent);
--- a/src/catkintack/net/upstream_client_test.cpp
+++ b/src/catkintack/net/upstream_client_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <map>
 #include <thread>
 
 #include "free_address.hpp"
@@ -138,6 +139,25 @@
   EXPECT_EQ(server.connections(), 3);
 }
 
+// Guards against a copy of a refusal that is taken for the refusal of the next request, which may
+// run (incident 16).
+TEST_F(upstream_client_test, repeated_refusal_is_not_taken_for_that_of_the_next_request) {
+  const std::string refusal =
+      "HTTP/1.1 503 Service Unavailable\r\nCatkintack-Outcome: not_run\r\nContent-Length: "
+      "0\r\n\r\n";
+  std::map<int, int> requests;  // Of each connection.
+  std::atomic<int> total = 0;
+  const raw_server server([&](int descriptor) {
+    if (++total == 1) {
+      ++requests[descriptor];
+      return raw_server::send(descriptor, refusal);
+    }
+    return raw_server::send(descriptor, (requests[descriptor] > 0 ? refusal : "") + counted);
+  });
+  EXPECT_EQ(get(server.address()).result, attempt_result::refused);
+  EXPECT_EQ(get(server.address()).result, attempt_result::answered);
+}
+
 TEST_F(upstream_client_test, connection_closed_by_the_upstream_is_replaced) {
   const raw_server server([](int descriptor) {
     raw_server::send(descriptor, counted);
--- a/src/catkintack/serving/exchange.cpp
+++ b/src/catkintack/serving/exchange.cpp
@@ -135,12 +135,21 @@
   return std::chrono::seconds(seconds);
 }
 
+/// @brief Whether a copy of a refusal could be taken for the refusal of a later call on the same
+/// connection: it states that the call did not run, and does not name the call.
+bool is_ambiguous_refusal(const exchange_result& result, const upstream_protocol& protocol) {
+  return result.outcome == exchange_outcome::not_run &&
+         result.headers.count(protocol.request_id) == 0;
+}
+
 exchange_outcome classify(const exchange_result& result,
                           const call& sent,
                           const upstream_protocol& protocol,
                           std::string& detail) {
   if (result.headers.count(protocol.not_run) > 0 || result.status == status::misdirected) {
-    detail = "upstream reported that it did not run the call";
+    detail = result.headers.count(protocol.request_id) > 0
+                 ? "upstream reported that it did not run the call"
+                 : "upstream reported, without the request id, that it did not run the call";
     return exchange_outcome::not_run;
   }
   if (result.headers.count(protocol.proof) == 0 ||
@@ -252,7 +261,8 @@
   if (!parser->is_done()) {
     result.body_parser = std::move(parser);
     result.connection = std::move(connection);
-  } else if (parser->keep_alive() && !send_error && !sent.read_more_body) {
+  } else if (parser->keep_alive() && !send_error && !sent.read_more_body &&
+             !is_ambiguous_refusal(result, protocol)) {
     result.connection = std::move(connection);
   }
   co_return result;
--- a/src/catkintack/serving/probe_round.cpp
+++ b/src/catkintack/serving/probe_round.cpp
@@ -168,7 +168,10 @@
     co_return false;
   }
   record_response(parser, target);
-  if (!parser.keep_alive()) {
+  // A copy of a refused probe could be taken for the refusal of a later call.
+  const bool refused =
+      parser.get().count(names.not_run) > 0 || parser.get().result_int() == status::misdirected;
+  if (!parser.keep_alive() || refused) {
     connection.close();
   }
   const bool answered = target.probe.has_value();
--- a/tests/serving_fixture.hpp
+++ b/tests/serving_fixture.hpp
@@ -62,6 +62,8 @@
   std::vector<received_request> received;     ///< Probes are not included.
   int probes = 0;
   int connections = 0;
+  /// Sends the last refusal on a connection again, before each further response to a call.
+  bool repeats_refusals = false;
   int closed_by_gateway = 0;  ///< Connections closed while a response was withheld.
   bool crashed = false;
   std::size_t endless_bytes = 0;  ///< Sent by endless replies.
@@ -106,6 +108,7 @@
 
   asio::awaitable<void> serve(std::shared_ptr<beast::tcp_stream> stream) {
     beast::flat_buffer buffer;
+    std::string last_refusal;
     for (;;) {
       received_request request;
       auto [read_error, count] =
@@ -113,7 +116,13 @@
       if (read_error) {
         co_return;
       }
-      const scripted_reply reply = respond_to(request);
+      scripted_reply reply = respond_to(request);
+      const std::string copy =
+          repeats_refusals && request.target() != "/health" ? last_refusal : std::string();
+      if (reply.bytes.starts_with("HTTP/1.1 503") || reply.bytes.starts_with("HTTP/1.1 421")) {
+        last_refusal = reply.bytes;
+      }
+      reply.bytes.insert(0, copy);
       if (reply.crash) {
         end();
         co_return;
