Keep streamed bodies for retries as far as memory allows

The parts that are streamed are kept, up to 16 MiB for all calls of a host. A call whose body exceeds what is left is sent once, and what it kept is freed at once. Retries send the kept part and go on with the rest.

--- a/include/catkintack/serving/call.hpp
+++ b/include/catkintack/serving/call.hpp
@@ -26,9 +26,11 @@
   std::string method;
   std::string target;
   http::fields headers;
-  std::string body;                          ///< The complete body, or the buffered first part.
-  body_reader read_more_body;                ///< Set while more of the body follows the buffer.
-  bool body_consumed = false;                ///< Parts beyond the buffer were read and are gone.
+  std::string body;            ///< The body as far as it was received and kept.
+  body_reader read_more_body;  ///< Set while more of the body follows.
+  bool body_consumed = false;  ///< Parts of the body were sent and not kept.
+  /// Reserves memory to keep a further part of the body, in bytes; unset: no memory is left.
+  std::function<bool(std::size_t)> reserve_body;
   bool has_body = false;                     ///< True for an announced body, even an empty one.
   std::optional<std::uint64_t> body_length;  ///< Not set with chunked encoding.
 
@@ -58,6 +60,17 @@
 
   /// @brief Whether the body can still be sent from its beginning.
   bool can_be_sent() const { return !body_consumed; }
+  /// @brief Keeps a part of the body that is being sent, so that it can be sent again, or nothing
+  /// of the body if memory is short.
+  void keep_body(const std::string& part) {
+    if (reserve_body && reserve_body(part.size())) {
+      body += part;
+    } else if (!part.empty()) {
+      body_consumed = true;
+      std::string().swap(body);
+      reserve_body = nullptr;
+    }
+  }
   /// @brief Whether the call may be executed more than once.
   bool repeatable() const { return route->delivery == routes::delivery_kind::repeatable; }
   /// @brief Records that the caller has disconnected. Aborts upstream requests in progress only if
--- a/include/catkintack/serving/serving_options.hpp
+++ b/include/catkintack/serving/serving_options.hpp
@@ -57,8 +57,12 @@
   base::duration remote_probe_timeout = std::chrono::milliseconds(120);  ///< In other regions.
   base::duration connect_timeout = std::chrono::milliseconds(500);
   base::duration max_idle_time = std::chrono::seconds(8);  ///< Of a connection that is reused.
-  std::size_t max_idle_per_upstream = 3;        ///< Size of the connection pool per upstream.
-  std::size_t max_buffered_body = 256U << 10U;  ///< Largest body kept for retries.
+  std::size_t max_idle_per_upstream = 3;  ///< Size of the connection pool per upstream.
+  /// Part of a body, in bytes, that is received before an upstream is selected.
+  std::size_t max_buffered_body = 256U << 10U;
+  /// Memory for the further parts of bodies that are kept for retries, in bytes, of all calls
+  /// together. A call whose body exceeds it is sent once.
+  std::size_t max_kept_bodies = 16U << 20U;
   /// Fraction of the route's latency objective for which a call may be held while its upstreams are
   /// busy.
   double hold_share = 0.125;
--- a/include/catkintack/serving/traffic_state.hpp
+++ b/include/catkintack/serving/traffic_state.hpp
@@ -89,8 +89,9 @@
   /// Services whose probe responses carry no load header, so that probing gives no information.
   std::map<base::service_id, bool> probes_without_load;
   stop_stage stop = stop_stage::running;
-  base::instant stop_began;    ///< Set unless `stop` is running.
-  std::size_t open_calls = 0;  ///< Calls received and not yet answered.
+  base::instant stop_began;         ///< Set unless `stop` is running.
+  std::size_t open_calls = 0;       ///< Calls received and not yet answered.
+  std::size_t kept_body_bytes = 0;  ///< Used of the option max_kept_bodies.
 
   /// @brief Whether an upstream may be sent calls and probes now.
   bool accepts_requests(const base::upstream_id& id) const {
--- a/src/catkintack/serving/caller_session.cpp
+++ b/src/catkintack/serving/caller_session.cpp
@@ -67,6 +67,30 @@
   std::shared_ptr<const call>& current_;
 };
 
+/// @brief Memory in which a call keeps its body while the body is streamed.
+class body_reservation {
+ public:
+  explicit body_reservation(traffic_state& state) : state_(state) {}
+  body_reservation(const body_reservation&) = delete;
+  body_reservation& operator=(const body_reservation&) = delete;
+  body_reservation(body_reservation&&) = delete;
+  body_reservation& operator=(body_reservation&&) = delete;
+  ~body_reservation() { state_.kept_body_bytes -= bytes_; }
+
+  bool add(std::size_t bytes) {
+    if (state_.kept_body_bytes + bytes > state_.options.max_kept_bodies) {
+      return false;
+    }
+    state_.kept_body_bytes += bytes;
+    bytes_ += bytes;
+    return true;
+  }
+
+ private:
+  traffic_state& state_;
+  std::size_t bytes_ = 0;
+};
+
 bool is_malformed(const error_code& error) {
   return error.category() == http::make_error_code(http::error::bad_method).category() &&
          error != http::error::end_of_stream && error != http::error::partial_message;
@@ -303,6 +327,9 @@
       const error_code failed = co_await read_body(stream_, buffer_, parser, piece, 1);
       co_return std::pair{std::move(piece), failed};
     };
+    admitted.reserve_body = [held = std::make_shared<body_reservation>(state_)](std::size_t bytes) {
+      return held->add(bytes);
+    };
   }
   co_return true;
 }
--- a/src/catkintack/serving/exchange.cpp
+++ b/src/catkintack/serving/exchange.cpp
@@ -56,11 +56,12 @@
   auto [error, written] =
       co_await asio::async_write(connection.stream, asio::buffer(text), no_throw);
   while (!error && sent.read_more_body) {
-    sent.body_consumed = true;
     auto [piece, body_error] = co_await sent.read_more_body();
     if (body_error) {
+      sent.body_consumed = true;
       co_return body_error;
     }
+    sent.keep_body(piece);
     const bool last = piece.empty();
     const std::string coded = chunked ? encode_chunk(piece) : piece;
     sent_bytes += coded.size();
--- a/src/catkintack/serving/resend_test.cpp
+++ b/src/catkintack/serving/resend_test.cpp
@@ -71,30 +71,49 @@
 
 class resend : public testing::TestWithParam<resend_case> {};
 
-// Guards against a body that is cut after its buffered first part when the call is sent again
-// (incident 14).
-TEST_P(resend, every_upstream_gets_the_whole_body) {
-  serving_fixture world([](serving_options& options) { options.max_buffered_body = buffer_size; });
-  world.set_route(GetParam().delivery, std::chrono::milliseconds(1500));
+/// @brief Makes a call that a first upstream does not answer and a second one could.
+/// @param memory For parts of bodies beyond the buffer.
+/// @return Whether the call was sent again.
+bool send_again(const resend_case& one, std::size_t memory) {
+  serving_fixture world([=](serving_options& options) {
+    options.max_buffered_body = buffer_size;
+    options.max_kept_bodies = memory;
+  });
+  world.set_route(one.delivery, std::chrono::milliseconds(1500));
   world.fill_repeat_budget();
-  auto& first = world.add("a", GetParam().first_reply);
+  auto& first = world.add("a", one.first_reply);
   auto& other = world.add("b", healthy_reply);
   other.load = "0,0,2,150";  // So that the other one is chosen first.
-  scripted_caller caller(world);
-  caller.send(request_with_body(GetParam().chunked));
-  ASSERT_TRUE(caller.wait_for("\r\n\r\n"));
-  ASSERT_EQ(first.received.size(), 1U);
-  EXPECT_EQ(first.received[0].body(), body);
-  for (const received_request& again : other.received) {
-    EXPECT_EQ(again.body(), body);
+  {
+    scripted_caller caller(world);
+    caller.send(request_with_body(one.chunked));
+    EXPECT_TRUE(caller.wait_for("\r\n\r\n"));
+    EXPECT_EQ(first.received.size(), 1U);
+    for (const auto* const upstream : {&first, &other}) {
+      for (const received_request& request : upstream->received) {
+        EXPECT_EQ(request.body(), body);
+      }
+    }
+    const char* const expected = other.received.empty() ? one.response : "HTTP/1.1 200";
+    EXPECT_TRUE(caller.received_bytes.starts_with(expected)) << caller.received_bytes;
   }
-  const bool answered = caller.received_bytes.starts_with("HTTP/1.1 200");
-  EXPECT_EQ(answered, !other.received.empty());
-  if (!answered) {
-    EXPECT_TRUE(caller.received_bytes.starts_with(GetParam().response)) << caller.received_bytes;
+  EXPECT_TRUE(world.run_until([&] { return world.state.kept_body_bytes == 0; }));
+  return !other.received.empty();
+}
+
+// Guards against a body that is cut after its buffered first part when the call is sent again
+// (incident 14).
+TEST_P(resend, call_whose_body_is_not_kept_is_not_sent_again) {
+  for (const std::size_t memory : {std::size_t{0}, body.size() / 2}) {
+    EXPECT_FALSE(send_again(GetParam(), memory)) << memory;
   }
 }
 
+// Guards against refusing calls with long bodies that could be sent again (incident 14).
+TEST_P(resend, call_whose_body_is_kept_is_sent_again_with_the_whole_body) {
+  EXPECT_TRUE(send_again(GetParam(), body.size()));
+}
+
 INSTANTIATE_TEST_SUITE_P(
     reasons,
     resend,
@@ -141,12 +160,14 @@
   world.state.isolation.on_check(0, 4, world.state.clock());
 }
 
-class relayed_resend : public testing::TestWithParam<bool> {};
-
-// Guards against a body that is cut when another host does not take the call and it is then sent to
-// the next one, or to an upstream (incident 14).
-TEST_P(relayed_resend, every_receiver_gets_the_whole_body) {
-  serving_fixture world([](serving_options& options) { options.max_buffered_body = buffer_size; });
+/// @brief Makes a call that two hosts do not take and an upstream could serve.
+/// @param memory For parts of bodies beyond the buffer.
+/// @return How often the call was sent.
+std::size_t relay_again(bool chunked, std::size_t memory) {
+  serving_fixture world([=](serving_options& options) {
+    options.max_buffered_body = buffer_size;
+    options.max_kept_bodies = memory;
+  });
   world.set_route(delivery_kind::at_most_once);
   auto& upstream = world.add("a", healthy_reply);
   tests::scripted_upstream refusing(world.io, "refusing", misdirected_reply);
@@ -156,16 +177,25 @@
     world.state.relays.on_offer(host->address(), {.available = true}, world.state.clock());
   }
   scripted_caller caller(world);
-  caller.send(request_with_body(GetParam()));
-  ASSERT_TRUE(caller.wait_for("\r\n\r\n"));
-  EXPECT_GE(refusing.received.size() + refusing_too.received.size(), 1U);
+  caller.send(request_with_body(chunked));
+  EXPECT_TRUE(caller.wait_for("\r\n\r\n"));
+  std::size_t sent = 0;
   for (const auto* const receiver : {&refusing, &refusing_too, &upstream}) {
     EXPECT_TRUE(all_bodies_whole(*receiver)) << receiver->id;
+    sent += receiver->received.size();
   }
-  const bool answered = caller.received_bytes.starts_with("HTTP/1.1 200");
-  EXPECT_EQ(answered, !upstream.received.empty());
-  EXPECT_TRUE(answered || caller.received_bytes.starts_with("HTTP/1.1 503"))
-      << caller.received_bytes;
+  const char* const expected = upstream.received.empty() ? "HTTP/1.1 503" : "HTTP/1.1 200";
+  EXPECT_TRUE(caller.received_bytes.starts_with(expected)) << caller.received_bytes;
+  return sent;
+}
+
+class relayed_resend : public testing::TestWithParam<bool> {};
+
+// Guards against a body that is cut when another host does not take the call and it is then sent to
+// the next one, or to an upstream (incident 14).
+TEST_P(relayed_resend, every_receiver_gets_the_whole_body) {
+  EXPECT_EQ(relay_again(GetParam(), 0), 1U);
+  EXPECT_GE(relay_again(GetParam(), body.size()), 2U);
 }
 
 // Guards against refusing a call with a long body because a host could not be connected to.
