--- a/src/catkintack/serving/stop_under_load_test.cpp
+++ b/src/catkintack/serving/stop_under_load_test.cpp
@@ -187,5 +187,24 @@
   EXPECT_TRUE(other.received.empty());
 }
 
+// Guards against a reset that discards the refusal of a call whose body is still being sent
+// (incident 13).
+TEST(stop_under_load, refusal_is_not_lost_by_a_reset_while_the_body_arrives) {
+  serving_fixture world(shorten_stop);
+  world.set_route(delivery_kind::at_most_once, std::chrono::seconds(60));
+  world.add("a", healthy_reply);
+  scripted_caller caller(world);
+  world.front.stop([](std::size_t) {});
+  const std::string half(100'000, 'x');
+  caller.send(
+      "POST /p/x HTTP/1.1\r\nHost: a.example\r\nCatkintack-Request-Id: one\r\n"
+      "Content-Length: 200000\r\n\r\n" +
+      half);
+  ASSERT_TRUE(caller.wait_for("this host stops before the call could end"));
+  caller.send_some(half);
+  ASSERT_TRUE(caller.wait_for_close());
+  EXPECT_EQ(caller.close_reason, asio::error::eof) << caller.close_reason.message();
+}
+
 }  // namespace
 }  // namespace catkintack::serving
--- a/tests/serving_fixture.hpp
+++ b/tests/serving_fixture.hpp
@@ -318,6 +318,7 @@
 
   std::string received_bytes;
   bool closed = false;
+  serving::error_code close_reason;  ///< End of stream, or an error such as a reset.
 
  private:
   asio::awaitable<void> collect() {
@@ -328,6 +329,7 @@
       received_bytes.append(chunk.data(), count);
       if (error) {
         closed = true;
+        close_reason = error;
         co_return;
       }
     }
