Shorten run_call

The check for a consumed body moves into settle_without_search, and describe_search fills in the diagnostics of a search.

--- a/src/catkintack/serving/call_runner.cpp
+++ b/src/catkintack/serving/call_runner.cpp
@@ -284,12 +284,16 @@
     co_return refuse_quarantined(state, *served, progress, std::move(diagnostics));
   }
   if (state.isolation.isolated()) {
-    relay_result relayed =
-        co_await serve_isolated(state, std::move(executor), std::move(served), progress);
+    relay_result relayed = co_await serve_isolated(state, std::move(executor), served, progress);
     if (relayed.taken || !state.isolation.may_search(state.clock())) {
       co_return std::move(relayed.result);
     }
   }
+  if (!served->can_be_sent()) {
+    // A host that did not take the call has consumed its body.
+    co_return give_up(state, *served, progress, state.options.placement.min_retry_after,
+                      diagnostics);
+  }
   co_return std::nullopt;
 }
 
@@ -337,6 +341,15 @@
   return result;
 }
 
+void describe_search(call_diagnostics& diagnostics,
+                     const upstream_selection& selection,
+                     base::duration held) {
+  diagnostics.rounds = selection.rounds;
+  diagnostics.held = held;
+  diagnostics.expected = selection.decision.expected.total;
+  diagnostics.considered = selection.considered;
+}
+
 /// @brief Adds a call to the budgets of resends and of probes for waiting calls.
 void count_call(traffic_state& state, const call& served, const base::service_id& service) {
   if (!served.relayed) {
@@ -361,17 +374,9 @@
     if (settled) {
       co_return std::move(*settled);
     }
-    if (!served->can_be_sent()) {
-      // A host that did not take the call has consumed its body.
-      co_return give_up(state, *served, progress, state.options.placement.min_retry_after,
-                        diagnostics);
-    }
     upstream_selection selection =
         co_await select_upstream(state, executor, *served, share, service, progress.tried);
-    diagnostics.rounds = selection.rounds;
-    diagnostics.held = state.clock() - served->arrived;
-    diagnostics.expected = selection.decision.expected.total;
-    diagnostics.considered = selection.considered;
+    describe_search(diagnostics, selection, state.clock() - served->arrived);
     if (!ends_before_stop(state, *served, selection.decision.expected.total)) {
       state.pool.release(std::move(selection.connection), state.clock());
       co_return refuse_for_stop(state, *served, progress, diagnostics);
