--- a/src/catkintack/serving/repeated_refusal_test.cpp
+++ b/src/catkintack/serving/repeated_refusal_test.cpp
@@ -36,13 +36,13 @@
 class repeated_refusal : public testing::TestWithParam<refusal_case> {
  protected:
   repeated_refusal() {
-    world.set_route(delivery_kind::at_most_once);
-    upstream.repeats_refusals = true;
+    world_.set_route(delivery_kind::at_most_once);
+    upstream_.repeats_refusals = true;
   }
 
-  serving_fixture world;
-  tests::scripted_upstream& upstream =
-      world.add("a", [](const received_request& request) -> scripted_reply {
+  serving_fixture world_;
+  tests::scripted_upstream& upstream_ =
+      world_.add("a", [](const received_request& request) -> scripted_reply {
         const std::string id(request["Catkintack-Request-Id"]);
         return {.bytes = id == "refused" ? refusal_of(GetParam(), id)
                                          : valid_response(request, "own answer")};
@@ -51,7 +51,7 @@
 
 // Guards against "not run" for a call that its upstream runs (incident 16).
 TEST_P(repeated_refusal, is_not_taken_for_the_refusal_of_a_later_call) {
-  scripted_caller caller(world);
+  scripted_caller caller(world_);
   caller.get("refused");
   ASSERT_TRUE(caller.wait_for("HTTP/1.1 503"));
   for (const char* id : {"one", "two"}) {
@@ -60,28 +60,28 @@
     ASSERT_TRUE(caller.wait_for("\r\n\r\n"));
     EXPECT_TRUE(caller.wait_for("own answer")) << caller.received_bytes;
   }
-  EXPECT_EQ(upstream.received.size(), 3U);
+  EXPECT_EQ(upstream_.received.size(), 3U);
 }
 
 // Guards against a second run of a call at another upstream (incident 16).
 TEST_P(repeated_refusal, does_not_send_a_later_call_to_a_second_upstream) {
-  scripted_caller caller(world);
+  scripted_caller caller(world_);
   caller.get("refused");
   ASSERT_TRUE(caller.wait_for("HTTP/1.1 503"));
-  world.fill_repeat_budget();
-  auto& other = world.add("b", [](const received_request& request) -> scripted_reply {
+  world_.fill_repeat_budget();
+  auto& other = world_.add("b", [](const received_request& request) -> scripted_reply {
     return {.bytes = valid_response(request, "own answer")};
   });
   other.load = "0,0,2,900";  // So that the other one is chosen first.
   caller.received_bytes.clear();
   caller.get("one");
   ASSERT_TRUE(caller.wait_for("own answer")) << caller.received_bytes;
-  EXPECT_EQ(upstream.received.size() + other.received.size(), 2U);
+  EXPECT_EQ(upstream_.received.size() + other.received.size(), 2U);
 }
 
 // Guards against taking the copy for the refusal of a call that has no id itself (incident 16).
 TEST_P(repeated_refusal, is_not_taken_for_the_refusal_of_a_call_without_an_id) {
-  scripted_caller caller(world);
+  scripted_caller caller(world_);
   caller.get("refused");
   ASSERT_TRUE(caller.wait_for("HTTP/1.1 503"));
   caller.received_bytes.clear();
@@ -92,14 +92,14 @@
 
 // Guards against a refused probe whose copy is taken for the refusal of a call (incident 16).
 TEST_P(repeated_refusal, of_a_probe_is_not_taken_for_that_of_a_call) {
-  upstream.probe_reply =
+  upstream_.probe_reply =
       scripted_reply{.bytes = std::string(GetParam().head) +
                               "Catkintack-Upstream: a\r\nCatkintack-Load: 0,0,2,100\r\n"
                               "Content-Length: 0\r\n\r\n"};
-  scripted_caller caller(world);
+  scripted_caller caller(world_);
   caller.get("one");
   ASSERT_TRUE(caller.wait_for("own answer")) << caller.received_bytes;
-  EXPECT_EQ(upstream.received.size(), 1U);
+  EXPECT_EQ(upstream_.received.size(), 1U);
 }
 
 INSTANTIATE_TEST_SUITE_P(
