Test a relay that a stop interrupts

stop_under_load.call_is_not_relayed_further_when_it_may_outlast_the_stop_limit: the stop begins while a first host refuses the call; the next host must not get it. No change of the product.

--- a/src/catkintack/serving/resend_test.cpp
+++ b/src/catkintack/serving/resend_test.cpp
@@ -146,20 +146,6 @@
                              [](const received_request& one) { return one.body() == body; });
 }
 
-/// @brief Makes a host take itself for isolated although it reaches one upstream.
-void isolate(serving_fixture& world) {
-  for (const char* name : {"unreachable_1", "unreachable_2", "unreachable_3"}) {
-    directory::endpoint entry;
-    entry.record.id = base::upstream_id(name);
-    entry.record.service = base::service_id("press");
-    entry.record.where = {"127.0.0.1", 1};
-    entry.record.region = world.state.options.region;
-    entry.record.slots = 2;
-    world.state.upstreams.upsert(entry, world.state.clock());
-  }
-  world.state.isolation.on_check(0, 4, world.state.clock());
-}
-
 /// @brief Makes a call that two hosts do not take and an upstream could serve.
 /// @param memory For parts of bodies beyond the buffer.
 /// @return How often the call was sent.
@@ -172,7 +158,7 @@
   auto& upstream = world.add("a", healthy_reply);
   tests::scripted_upstream refusing(world.io, "refusing", misdirected_reply);
   tests::scripted_upstream refusing_too(world.io, "refusing_too", misdirected_reply);
-  isolate(world);
+  world.isolate();
   for (const auto* const host : {&refusing, &refusing_too}) {
     world.state.relays.on_offer(host->address(), {.available = true}, world.state.clock());
   }
@@ -203,7 +189,7 @@
   serving_fixture world([](serving_options& options) { options.max_buffered_body = buffer_size; });
   world.set_route(delivery_kind::at_most_once);
   tests::scripted_upstream taking(world.io, "taking", healthy_reply);
-  isolate(world);
+  world.isolate();
   world.state.relays.on_offer({"127.0.0.1", 1}, {.available = true}, world.state.clock());
   scripted_caller caller(world);
   caller.send(request_with_body(GetParam()));
--- a/src/catkintack/serving/stop_under_load_test.cpp
+++ b/src/catkintack/serving/stop_under_load_test.cpp
@@ -206,5 +206,31 @@
   EXPECT_EQ(caller.close_reason, asio::error::eof) << caller.close_reason.message();
 }
 
+// Guards against a call that is relayed to the next host although a stop has begun that it may
+// outlast.
+TEST(stop_under_load, call_is_not_relayed_further_when_it_may_outlast_the_stop_limit) {
+  serving_fixture world(shorten_stop);
+  world.set_route(delivery_kind::at_most_once, std::chrono::seconds(60));
+  auto& upstream = world.add("a", healthy_reply);
+  const auto stop_and_refuse = [&](const received_request& request) -> scripted_reply {
+    world.front.stop([](std::size_t) {});
+    return {.bytes = "HTTP/1.1 421 Misdirected Request\r\nCatkintack-Request-Id: " +
+                     std::string(request["Catkintack-Request-Id"]) +
+                     "\r\nContent-Length: 0\r\n\r\n"};
+  };
+  tests::scripted_upstream one(world.io, "one", stop_and_refuse);
+  tests::scripted_upstream other(world.io, "other", stop_and_refuse);
+  world.isolate();
+  for (const auto* const host : {&one, &other}) {
+    world.state.relays.on_offer(host->address(), {.available = true}, world.state.clock());
+  }
+  scripted_caller caller(world);
+  caller.get("one");
+  ASSERT_TRUE(caller.wait_for("this host stops before the call could end"));
+  EXPECT_TRUE(caller.received_bytes.starts_with("HTTP/1.1 503")) << caller.received_bytes;
+  EXPECT_EQ(one.received.size() + other.received.size(), 1U);
+  EXPECT_TRUE(upstream.received.empty());
+}
+
 }  // namespace
 }  // namespace catkintack::serving
--- a/tests/serving_fixture.hpp
+++ b/tests/serving_fixture.hpp
@@ -206,6 +206,21 @@
     state.upstreams.upsert(entry, state.clock());
   }
 
+  /// @brief Makes the host take itself for isolated, also while it reaches one upstream: it lists
+  /// three at an address without a listener.
+  void isolate() {
+    for (const char* name : {"unreachable_1", "unreachable_2", "unreachable_3"}) {
+      directory::endpoint entry;
+      entry.record.id = base::upstream_id(name);
+      entry.record.service = base::service_id("press");
+      entry.record.where = {"127.0.0.1", 1};
+      entry.record.region = state.options.region;
+      entry.record.slots = 2;
+      state.upstreams.upsert(entry, state.clock());
+    }
+    state.isolation.on_check(0, 4, state.clock());
+  }
+
   /// @brief Replaces the route table with a single route: host a.example, prefix /p/.
   void set_route(routes::delivery_kind delivery,
                  base::duration timeout = std::chrono::seconds(2),
