--- a/src/catkintack/config/list_codec_test.cpp
+++ b/src/catkintack/config/list_codec_test.cpp
@@ -38,6 +38,19 @@
   EXPECT_EQ(message_of("{}").substr(0, 28), "allowances list is malformed");
 }
 
+// Guards against a number outside its type that is converted to a valid one (incident 15).
+TEST(list_codec, rejects_counts_that_are_not_whole_numbers_in_range) {
+  for (const char* count : {"4294967298", "18446744073709551618", "1e30", "2.5", "true"}) {
+    for (const std::string name : {"burst", "max_concurrent"}) {
+      std::string text = R"({"version":1,"allowances":[{"plan":"gold","service":"s",)"
+                         R"("rate_per_second":1,"burst":1,"max_concurrent":1}]})";
+      const std::string field = "\"" + name + "\":";
+      text.replace(text.find(field) + field.size(), 1, count);
+      EXPECT_FALSE(parse_allowances(text)) << name << " " << count;
+    }
+  }
+}
+
 TEST(key_hash, is_sha256) {
   EXPECT_EQ(hash_key("abc"), "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
 }
