--- a/include/catkintack/serving/call.hpp
+++ b/include/catkintack/serving/call.hpp
@@ -58,6 +58,10 @@
   /// Connections on which an upstream is processing the call.
   std::set<upstream_connection*> active_connections;
 
+  /// Upstreams whose attempt this host ended before they answered, separated by commas; for the
+  /// log.
+  std::string given_up;
+
   /// @brief Whether the body can still be sent from its beginning.
   bool can_be_sent() const { return !body_consumed; }
   /// @brief Keeps a part of the body that is being sent, so that it can be sent again, or nothing
@@ -73,6 +77,11 @@
   }
   /// @brief Whether the call may be executed more than once.
   bool repeatable() const { return route->delivery == routes::delivery_kind::repeatable; }
+  /// @brief Closes the connection of an attempt whose upstream may be at work.
+  void give_up(upstream_connection& attempt) {
+    given_up += (given_up.empty() ? "" : ",") + attempt.upstream.value();
+    attempt.close();
+  }
   /// @brief Records that the caller has disconnected. Aborts upstream requests in progress only if
   /// the call is repeatable, as aborting is then harmless.
   void on_caller_left() {
--- a/src/catkintack/serving/call_runner.cpp
+++ b/src/catkintack/serving/call_runner.cpp
@@ -202,7 +202,7 @@
                                               {"expected_us", expected.count()}});
         state.metrics.add("attempts_abandoned_total");
         for (upstream_connection* const silent : served->active_connections) {
-          silent->close();
+          served->give_up(*silent);
         }
       }
     });
--- a/src/catkintack/serving/caller_session.cpp
+++ b/src/catkintack/serving/caller_session.cpp
@@ -386,6 +386,8 @@
                                   {"expected_us", result.diagnostics.expected.count()},
                                   {"took_us", elapsed.count()},
                                   {"attempts", result.diagnostics.attempts},
+                                  {"given_up", served.given_up},
+                                  {"stopping", state_.stop == stop_stage::running ? 0 : 1},
                                   {"rounds", result.diagnostics.rounds},
                                   {"relayed", served.relayed ? 1 : 0},
                                   {"relay", result.diagnostics.relay},
