--- a/tests/serving_fixture.hpp
+++ b/tests/serving_fixture.hpp
@@ -2,12 +2,14 @@
 /// Runs the serving layer with scripted upstreams and callers, over loopback on a single thread.
 #pragma once
 
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <functional>
@@ -35,6 +37,9 @@
   bool endless = false;      ///< Repeats the bytes after `bytes` until the connection is closed.
   std::string repeated{};    ///< The bytes that an endless reply repeats.
   bool crash = false;        ///< Ends the upstream: all its connections, and it refuses new ones.
+  /// The response is written once this holds, unless the gateway closes the connection before;
+  /// unset: at once.
+  std::function<bool()> ready{};
 };
 
 /// @brief Builds a complete, valid upstream response.
@@ -133,6 +138,12 @@
         ++closed_by_gateway;
         co_return;
       }
+      if (reply.ready) {
+        const bool answers = co_await wait_until_ready(stream->socket(), reply.ready);
+        if (!answers) {
+          co_return;
+        }
+      }
       co_await asio::async_write(*stream, asio::buffer(reply.bytes), serving::no_throw);
       while (reply.endless) {
         auto [error, written] =
@@ -149,6 +160,22 @@
     }
   }
 
+  /// @return False if the gateway closed the connection first.
+  asio::awaitable<bool> wait_until_ready(asio::ip::tcp::socket& socket,
+                                         std::function<bool()> ready) {
+    asio::steady_timer timer(socket.get_executor());
+    while (!ready()) {
+      char byte = 0;
+      if (::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0) {
+        ++closed_by_gateway;
+        co_return false;
+      }
+      timer.expires_after(std::chrono::milliseconds(2));
+      co_await timer.async_wait(serving::no_throw);
+    }
+    co_return true;
+  }
+
   script answer_;
   asio::ip::tcp::acceptor acceptor_;
   std::vector<std::weak_ptr<beast::tcp_stream>> streams_;
