Keep an attempt until another upstream has answered

Cause: the watchdog for silent upstreams closed the connection of a running attempt of a repeatable call and only then looked for another upstream. If none had room, a stop began, the other one refused or lost the call, or another call had used the last resend, the caller got 502 in place of an upstream at work.

Change: call_attempts sends the call to a second upstream while the first attempt goes on, and ends an attempt only when another one has answered, the caller has left or the deadline has passed. The search for the second upstream ends as soon as it is not needed. A failure is reported once no attempt is at work. No search begins during a stop.

Callers: a call that moved on frees its first upstream later than before, when the second one has answered. Each such call may occupy two slots meanwhile, within the budget of resends, as before.

--- a/include/catkintack/serving/upstream_selection.hpp
+++ b/include/catkintack/serving/upstream_selection.hpp
@@ -2,6 +2,7 @@
 /// Selects the upstream for a call.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
@@ -30,11 +31,13 @@
 /// @param executor Executor of the probes.
 /// @param share Refuses, or allows to queue, a call of a customer while the service lacks capacity.
 /// @param tried Upstreams that are excluded because the call was sent to them before.
+/// @param is_obsolete Whether the search is no longer needed, which ends it; may be unset.
 asio::awaitable<upstream_selection> select_upstream(traffic_state& state,
                                                     asio::any_io_executor executor,
                                                     call& served,
                                                     share_ticket& share,
                                                     base::service_id service,
-                                                    const std::set<base::upstream_id>& tried);
+                                                    const std::set<base::upstream_id>& tried,
+                                                    std::function<bool()> is_obsolete = {});
 
 }  // namespace catkintack::serving
--- a/src/catkintack/serving/call_runner.cpp
+++ b/src/catkintack/serving/call_runner.cpp
@@ -1,28 +1,16 @@
 #include "catkintack/serving/call_runner.hpp"
 
-#include <algorithm>
-#include <boost/asio/steady_timer.hpp>
 #include <optional>
-#include <set>
 #include <utility>
 
-#include "catkintack/serving/crash_check.hpp"
+#include "catkintack/serving/call_attempts.hpp"
 #include "catkintack/serving/relay_call.hpp"
 #include "catkintack/serving/status.hpp"
 #include "catkintack/serving/stop_check.hpp"
-#include "catkintack/serving/task.hpp"
-#include "catkintack/serving/upstream_selection.hpp"
 
 namespace catkintack::serving {
 namespace {
 
-/// @brief Progress of a call across its attempts.
-struct call_progress {
-  std::uint32_t attempts = 0;
-  bool may_have_run = false;  ///< An attempt may have run the call.
-  std::set<base::upstream_id> tried;
-};
-
 base::service_id pick_service(const routes::route& route, const base::random_hook& random) {
   std::uint64_t total = 0;
   for (const routes::weighted_service& part : route.services) {
@@ -107,154 +95,17 @@
   return result;
 }
 
-void log_attempt(traffic_state& state,
-                 const call& served,
-                 const upstream_selection& selection,
-                 const exchange_result& attempt,
-                 base::duration elapsed) {
-  if (attempt.outcome == exchange_outcome::answered) {
-    return;
-  }
-  state.log.write("attempt_failed", {{"request", served.id},
-                                     {"fingerprint", served.fingerprint.value()},
-                                     {"upstream", selection.upstream.value()},
-                                     {"outcome", std::string(to_text(attempt.outcome))},
-                                     {"why", attempt.detail},
-                                     {"took_us", elapsed.count()},
-                                     {"considered", selection.considered}});
-}
-
-/// @brief Updates the load and failure statistics with the outcome of an attempt.
-void record_outcome(traffic_state& state,
-                    const call& served,
-                    const upstream_selection& selection,
-                    const exchange_result& attempt,
-                    base::duration elapsed) {
-  switch (attempt.outcome) {
-    case exchange_outcome::answered:
-      state.outlier_detector.on_success(selection.upstream);
-      if (!attempt.body_parser) {
-        on_request_answered(state, served.fingerprint);
-        state.route_statistics.on_response(served.route->name.value(), elapsed, selection.reading,
-                                           attempt.sent_bytes + attempt.body.size());
-      }
-      return;
-    case exchange_outcome::caller_left:
-      return;
-    case exchange_outcome::failed:
-      on_request_answered(state, served.fingerprint);
-      state.outlier_detector.on_failure(selection.upstream, state.clock());
-      return;
-    case exchange_outcome::not_run:
-    case exchange_outcome::may_have_run:
-    case exchange_outcome::timed_out:
-      state.outlier_detector.on_failure(selection.upstream, state.clock());
-      return;
-  }
-}
-
-/// @brief Whether a further attempt is possible, apart from the resend budget.
-bool may_try_again(const traffic_state& state, const call& served, const call_progress& progress) {
-  return served.can_be_sent() && !served.caller_left &&
-         progress.attempts < served.route->max_attempts && state.clock() < served.deadline;
-}
-
+/// @brief Whether a failed attempt is followed by another one, which uses up a resend.
 bool may_retry(traffic_state& state,
                const call& served,
-               const call_progress& progress,
-               const exchange_result& attempt,
+               const call_attempts& attempts,
+               const exchange_result& failed,
                const base::service_id& service) {
-  const bool safe = served.repeatable() || attempt.outcome == exchange_outcome::not_run;
-  return safe && may_try_again(state, served, progress) &&
+  const bool safe = served.repeatable() || failed.outcome == exchange_outcome::not_run;
+  return safe && !failed.body_parser && attempts.may_try_again() &&
          state.repeats.try_spend(service, state.clock());
 }
 
-/// @brief Closes the connection of an attempt whose upstream stays silent, so that the call can be
-/// sent elsewhere while it may still be answered in time.
-///
-/// An overloaded upstream may answer neither a call that it cannot queue nor anything after it on
-/// the same connection. Only repeatable calls move on: another one may be running.
-class silence_watchdog {
- public:
-  silence_watchdog(traffic_state& state,
-                   const asio::any_io_executor& executor,
-                   const std::shared_ptr<call>& served,
-                   const call_progress& progress,
-                   const base::service_id& service,
-                   base::duration expected)
-      : timer_(executor) {
-    if (!served->repeatable()) {
-      return;
-    }
-    constexpr int tolerated_estimates = 3;
-    timer_.expires_after(std::max({served->route->latency_objective, expected * tolerated_estimates,
-                                   (served->deadline - state.clock()) / 2}));
-    timer_.async_wait([&state, served, progress, service, expected](const error_code& error) {
-      // During a planned stop, a call that may be running is not given up for an uncertain retry.
-      if (error || served->response_started || state.stop != stop_stage::running) {
-        return;
-      }
-      const base::instant now = state.clock();
-      if (may_try_again(state, *served, progress) && served->deadline - now > expected &&
-          state.repeats.can_spend(service, now)) {
-        state.log.write("attempt_abandoned", {{"request", served->id},
-                                              {"why", "no answer from the upstream"},
-                                              {"expected_us", expected.count()}});
-        state.metrics.add("attempts_abandoned_total");
-        for (upstream_connection* const silent : served->active_connections) {
-          served->give_up(*silent);
-        }
-      }
-    });
-  }
-  silence_watchdog(const silence_watchdog&) = delete;
-  silence_watchdog& operator=(const silence_watchdog&) = delete;
-  silence_watchdog(silence_watchdog&&) = delete;
-  silence_watchdog& operator=(silence_watchdog&&) = delete;
-  ~silence_watchdog() = default;
-
- private:
-  asio::steady_timer timer_;
-};
-
-/// @brief Finds out whether the upstream of an attempt crashed, at once for a request that is
-/// suspect already: it might be sent to the next upstream.
-asio::awaitable<void> examine_loss(traffic_state& state,
-                                   const asio::any_io_executor& executor,
-                                   const call& served,
-                                   const base::upstream_id& upstream) {
-  const lost_call lost = describe_lost_call(state, served, upstream);
-  if (state.crashes.is_suspect(served.fingerprint)) {
-    co_await check_for_crash(state, executor, lost);
-  } else {
-    spawn_task(executor, state.log, "crash_check", check_for_crash(state, executor, lost));
-  }
-}
-
-asio::awaitable<exchange_result> send_attempt(traffic_state& state,
-                                              call& served,
-                                              upstream_selection& selection) {
-  const base::instant started_at = state.clock();
-  state.in_flight.begin(selection.upstream, started_at);
-  constexpr std::size_t max_buffered_response = 64U << 10U;
-  exchange_result attempt =
-      co_await exchange(std::move(selection.connection), served, state.options.protocol,
-                        served.deadline - started_at, max_buffered_response);
-  state.in_flight.end(selection.upstream, started_at);
-  if (attempt.status != 0) {
-    state.last_upstream_response = state.clock();
-  }
-  const base::duration elapsed = state.clock() - started_at;
-  state.metrics.add("attempts_total{outcome=\"" + std::string(to_text(attempt.outcome)) + "\"}");
-  apply_notice(state, selection.upstream, attempt.notice, notice_source::call);
-  log_attempt(state, served, selection, attempt, elapsed);
-  record_outcome(state, served, selection, attempt, elapsed);
-  if (!attempt.body_parser && attempt.connection) {
-    state.pool.release(std::move(attempt.connection), state.clock());
-  }
-  co_return attempt;
-}
-
 /// @brief Ends a call of a host that reaches no upstream: another host serves it, unless it came
 /// from one.
 asio::awaitable<relay_result> serve_isolated(traffic_state& state,
@@ -317,13 +168,6 @@
   co_return give_up(state, *served, progress, retry_after, diagnostics, decided.refusal);
 }
 
-/// @brief Whether the call is over, however its caller fares.
-bool ends_call(const exchange_result& attempt, const call& served) {
-  return served.caller_left || attempt.outcome == exchange_outcome::caller_left ||
-         attempt.outcome == exchange_outcome::answered ||
-         attempt.outcome == exchange_outcome::timed_out;
-}
-
 /// @brief The result of a call that its last attempt ended.
 call_result finish(const traffic_state& state,
                    const call& served,
@@ -341,15 +185,6 @@
   return result;
 }
 
-void describe_search(call_diagnostics& diagnostics,
-                     const upstream_selection& selection,
-                     base::duration held) {
-  diagnostics.rounds = selection.rounds;
-  diagnostics.held = held;
-  diagnostics.expected = selection.decision.expected.total;
-  diagnostics.considered = selection.considered;
-}
-
 /// @brief Adds a call to the budgets of resends and of probes for waiting calls.
 void count_call(traffic_state& state, const call& served, const base::service_id& service) {
   if (!served.relayed) {
@@ -366,60 +201,44 @@
                                       std::shared_ptr<call> served) {
   const base::service_id service = pick_service(*served->route, state.random);
   count_call(state, *served, service);
-  share_ticket share(state, *served, service);
-  call_progress progress;
-  call_diagnostics diagnostics;
+  const auto attempts = std::make_shared<call_attempts>(state, executor, served, service);
   for (;;) {
-    auto settled = co_await settle_without_search(state, executor, served, progress, diagnostics);
+    auto settled = co_await settle_without_search(state, executor, served, attempts->progress(),
+                                                  attempts->diagnostics());
     if (settled) {
       co_return std::move(*settled);
     }
-    upstream_selection selection =
-        co_await select_upstream(state, executor, *served, share, service, progress.tried);
-    describe_search(diagnostics, selection, state.clock() - served->arrived);
+    upstream_selection selection = co_await attempts->select();
     if (!ends_before_stop(state, *served, selection.decision.expected.total)) {
       state.pool.release(std::move(selection.connection), state.clock());
-      co_return refuse_for_stop(state, *served, progress, diagnostics);
+      co_return refuse_for_stop(state, *served, attempts->progress(), attempts->diagnostics());
     }
     if (!selection.connection || served->caller_left) {
-      co_return co_await settle_without_upstream(state, executor, served, progress, diagnostics,
-                                                 selection);
+      co_return co_await settle_without_upstream(state, executor, served, attempts->progress(),
+                                                 attempts->diagnostics(), selection);
     }
     if (state.crashes.is_quarantined(served->fingerprint)) {
       // The verdict came while the call was held.
       state.pool.release(std::move(selection.connection), state.clock());
-      co_return refuse_quarantined(state, *served, progress, diagnostics);
-    }
-    share.start();
-    progress.tried.insert(selection.upstream);
-    diagnostics.attempts = ++progress.attempts;
-    if (const auto limit = state.send_limit_of(selection.upstream)) {
-      diagnostics.limit = limit->rate;
-      state.metrics.add("sends_to_limited_upstreams_total");
+      co_return refuse_quarantined(state, *served, attempts->progress(), attempts->diagnostics());
     }
+    finished_attempt ended = co_await attempts->send(std::move(selection));
     call_result result;
-    result.upstream = selection.upstream;
-    result.diagnostics = diagnostics;
-    std::optional<silence_watchdog> watchdog;
-    watchdog.emplace(state, executor, served, progress, service, diagnostics.expected);
-    exchange_result attempt = co_await send_attempt(state, *served, selection);
-    watchdog.reset();
-    if (ends_call(attempt, *served)) {
-      co_return finish(state, *served, std::move(attempt), std::move(result));
+    result.upstream = ended.upstream;
+    result.diagnostics = ended.diagnostics;
+    result.diagnostics.attempts = attempts->progress().attempts;
+    if (ends_call(ended.exchange, *served)) {
+      co_return finish(state, *served, std::move(ended.exchange), std::move(result));
     }
-    if (attempt.connection_lost) {
-      co_await examine_loss(state, executor, *served, result.upstream);
-    }
-    progress.may_have_run = progress.may_have_run || attempt.outcome != exchange_outcome::not_run;
-    if (!attempt.body_parser && may_retry(state, *served, progress, attempt, service)) {
+    if (may_retry(state, *served, *attempts, ended.exchange, service)) {
       continue;
     }
-    if (attempt.outcome == exchange_outcome::failed) {
-      result.upstream_response = std::move(attempt);
+    if (ended.exchange.outcome == exchange_outcome::failed) {
+      result.upstream_response = std::move(ended.exchange);
       co_return result;
     }
-    co_return give_up(state, *served, progress, state.options.placement.min_retry_after,
-                      diagnostics);
+    co_return give_up(state, *served, attempts->progress(), state.options.placement.min_retry_after,
+                      attempts->diagnostics());
   }
 }
 
--- a/src/catkintack/serving/upstream_selection.cpp
+++ b/src/catkintack/serving/upstream_selection.cpp
@@ -449,7 +449,9 @@
                                                     call& served,
                                                     share_ticket& share,
                                                     base::service_id service,
-                                                    const std::set<base::upstream_id>& tried) {
+                                                    const std::set<base::upstream_id>& tried,
+                                                    std::function<bool()> is_obsolete) {
+  const auto is_over = [&] { return served.caller_left || (is_obsolete && is_obsolete()); };
   upstream_search search(state, executor, served, share, std::move(service), tried);
   asio::steady_timer pause(executor);
   for (;;) {
@@ -465,18 +467,18 @@
     share.record_reading(search.result.decision);
     if (search.result.decision.action == choice::placement_action::send) {
       co_await search.connect_to_selected();
-      if (search.result.connection || served.caller_left) {
+      if (search.result.connection || is_over()) {
         co_return std::move(search.result);
       }
       continue;
     }
     search.end_round();
-    if (search.result.decision.action == choice::placement_action::refuse || served.caller_left) {
+    if (search.result.decision.action == choice::placement_action::refuse || is_over()) {
       co_return std::move(search.result);
     }
     pause.expires_after(search.result.decision.pause);
     co_await pause.async_wait(no_throw);
-    if (served.caller_left) {
+    if (is_over()) {
       co_return std::move(search.result);
     }
   }
