Soak of planned stops: include the stand-ins from the root

The linter takes headers that are reached through tests/ for sources of the tests. Also names checks of optional values and members of the new tests that the linter asks for.

--- a/src/catkintack/serving/call_attempts.cpp
+++ b/src/catkintack/serving/call_attempts.cpp
@@ -184,7 +184,8 @@
   }
   current->over = true;
   current->pause.cancel();
-  co_return current->decisive ? std::move(*current->decisive) : std::move(*current->failure);
+  finished_attempt failed = std::move(current->failure).value_or(finished_attempt());
+  co_return std::move(current->decisive).value_or(std::move(failed));
 }
 
 void call_attempts::conclude(round& current, finished_attempt decisive) {
--- a/src/catkintack/serving/silent_upstream_test.cpp
+++ b/src/catkintack/serving/silent_upstream_test.cpp
@@ -19,8 +19,7 @@
 constexpr const char* slower = "0,0,2,150";
 
 /// @brief A host with an upstream "slow" that answers "late" when told to, and another one.
-class silent_upstream : public testing::Test {
- protected:
+struct silent_upstream : testing::Test {
   void start(const std::string& other_load, scripted_upstream::script other_script) {
     world.set_route(delivery_kind::repeatable, std::chrono::seconds(3));
     world.fill_repeat_budget();
--- a/tests/stop_soak/stop_soak.cpp
+++ b/tests/stop_soak/stop_soak.cpp
@@ -3,7 +3,7 @@
 //
 // usage: stop_soak PROGRAM FOLDER RECORD   (environment: SEED, RUN_SECONDS)
 // Exits with 1 if a check failed, with 2 if the run gave nothing.
-#include "../../review/rig/rig.h"
+#include "review/rig/rig.h"
 
 namespace {
 
@@ -18,6 +18,7 @@
 constexpr int host_count = 3;
 constexpr int servers_per_service = 6;
 constexpr int callers_per_host = 12;
+constexpr std::size_t caller_count = host_count * callers_per_host;
 
 /// A request that an upstream ran.
 struct run {
@@ -385,15 +386,17 @@
   }
   const double until = now_s() + seconds;
   std::vector<std::thread> callers;
-  for (int i = 0; i < host_count * callers_per_host; ++i) {
+  callers.reserve(caller_count);
+  for (std::size_t i = 0; i < caller_count; ++i) {
     callers.emplace_back([&, i] {
-      caller one(site, seen, stopped, seed * 1000 + static_cast<std::uint64_t>(i));
-      one.run(static_cast<std::size_t>(i % host_count), until);
+      caller one(site, seen, stopped, seed * 1000 + i);
+      one.run(i % host_count, until);
     });
   }
   sleep_ms(2000);
   stopper stopping(site, seen, stopped);
   std::vector<std::thread> threads;
+  threads.reserve(3);
   threads.emplace_back([&] { stopping.run(seed * 7 + 1, {0, 2}, until); });
   threads.emplace_back([&] { stopping.run(seed * 7 + 2, {1}, until); });
   threads.emplace_back([&] { disturb(site, seed * 7 + 3, until); });
