--- a/tests/stop_soak/stop_soak.cpp
+++ b/tests/stop_soak/stop_soak.cpp
@@ -15,9 +15,9 @@
 constexpr double excused_sent_s = 3;  // Calls sent up to now after SIGTERM may outlast the grace.
 constexpr double excused_work_s = 5;  // Their upstream must still be at work this long after it.
 constexpr double time_limit_slack_s = 0.1;
-constexpr int host_count = 3;
+constexpr std::size_t host_count = 3;
 constexpr int servers_per_service = 6;
-constexpr int callers_per_host = 12;
+constexpr std::size_t callers_per_host = 12;
 constexpr std::size_t caller_count = host_count * callers_per_host;
 
 /// A request that an upstream ran.
@@ -371,7 +371,7 @@
   stops stopped;
   upstream_moods moods(seed, seen);
   rig::Site site(arguments.program, arguments.directory);
-  site.add_hosts(host_count);
+  site.add_hosts(static_cast<int>(host_count));
   for (int i = 0; i < 2 * servers_per_service; ++i) {
     rig::Server& server = site.add_server(i % 2 == 0 ? "reads" : "orders", i / 2, 2, 2, 40);
     server.on_run = [&](const rig::Server& where, const rig::Message& request) {
