Keep catkintackd running on SIGHUP

Cause: SIGHUP had its default action, so that a signal which announces changed settings ended the process with its calls open. The host program of the platform handles it; catkintackd did not.

SIGHUP is logged; nothing is reloaded, as before.

--- a/src/programs/catkintackd.cpp
+++ b/src/programs/catkintackd.cpp
@@ -32,14 +32,25 @@
   return incarnation(static_cast<std::uint64_t>(wall.time_since_epoch().count()));
 }
 
-sigset_t stop_signals() {
+sigset_t handled_signals() {
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   return signals;
 }
 
+void wait_for_stop_signal(const sigset_t& signals) {
+  int received = 0;
+  sigwait(&signals, &received);
+  while (received == SIGHUP) {
+    catkintack::logging::log(catkintack::logging::log_level::info, "daemon",
+                             "SIGHUP: nothing is reloaded; settings are read at the start only.");
+    sigwait(&signals, &received);
+  }
+}
+
 leaf::result<int> run(const std::string& path, bool check_only) {
   BOOST_LEAF_AUTO(read, catkintack::daemon::read_settings(path));
   if (check_only) {
@@ -48,12 +59,11 @@
   }
   const incarnation run = new_incarnation();
   catkintack::logging::configure_log(read.level, read.host, run);
-  const sigset_t signals = stop_signals();
+  const sigset_t signals = handled_signals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
   BOOST_LEAF_AUTO(started, daemon::start(read, run));
-  int received = 0;
-  sigwait(&signals, &received);
+  wait_for_stop_signal(signals);
   return started->stop() == 0 ? exit_ok : exit_stop_limit_reached;
 }
 
