--- a/src/catkintack/serving/call_attempts.cpp
+++ b/src/catkintack/serving/call_attempts.cpp
@@ -109,7 +109,7 @@
 struct call_attempts::round {
   explicit round(const asio::any_io_executor& executor) : changed(executor), pause(executor) {}
 
-  std::size_t at_work = 0;  ///< Attempts that have not ended.
+  std::size_t at_work = 0;  ///< Attempts after the first that have not ended.
   bool over = false;        ///< No further attempt is needed.
   std::optional<finished_attempt> decisive;
   std::optional<finished_attempt> failure;  ///< The one to report if all fail.
@@ -117,7 +117,7 @@
   asio::steady_timer pause;  ///< Between two searches; cancelled when the round is over.
 };
 
-/// @brief Counts an attempt as at work until it has ended, also by an exception.
+/// @brief Counts a further attempt as at work until it has ended, also by an exception.
 class call_attempts::work_count {
  public:
   explicit work_count(round& current) : current_(current) { ++current_.at_work; }
