--- a/include/catkintack/serving/call_attempts.hpp
+++ b/include/catkintack/serving/call_attempts.hpp
@@ -33,7 +33,7 @@
 ///
 /// While the upstream of a repeatable call stays silent, the call is also sent to another one. An
 /// attempt that may be running is never given up for an uncertain one: its connection is closed
-/// only when another upstream has answered.
+/// only when another upstream has answered, the caller has left or the deadline has passed.
 class call_attempts : public std::enable_shared_from_this<call_attempts> {
  public:
   /// @param executor Executor of the call's I/O.
--- a/tests/stop_soak/stop_soak.cpp
+++ b/tests/stop_soak/stop_soak.cpp
@@ -223,7 +223,7 @@
     call.ended = now_s();
     const bool complete = answer && answer->complete;
     call.status = complete ? answer->status() : 0;
-    call.by_upstream = complete && !answer->header("Catkintack-Response-Stamp").empty();
+    call.by_upstream = complete && rig::by_server(*answer);
     judge(call, seen_, stopped_);
     if (!complete || iequal(answer->header("Connection"), "close")) {
       connection_ = nullptr;
