--- a/tests/stop_soak/stop_soak.cpp
+++ b/tests/stop_soak/stop_soak.cpp
@@ -3,6 +3,9 @@
 //
 // usage: stop_soak PROGRAM FOLDER RECORD   (environment: SEED, RUN_SECONDS)
 // Exits with 1 if a check failed, with 2 if the run gave nothing.
+#include <algorithm>
+#include <array>
+
 #include "review/rig/rig.h"
 
 namespace {
@@ -53,8 +56,7 @@
     }
   }
   void begin(std::size_t host) { at_.at(host) = now_s(); }
-  /// Seconds from the last SIGTERM to a time; -1 if there was none in the second before it or
-  /// earlier.
+  /// Seconds from the last SIGTERM to a time, or -1 if the time is a second before it or earlier.
   double since(std::size_t host, double when) const { return std::max(when - at_.at(host), -1.0); }
 
  private:
@@ -83,14 +85,14 @@
 }
 
 /// Work of the upstreams: usual, slow or nearly silent by turns.
-class upstream_moods {
+class upstream_work {
  public:
-  upstream_moods(std::uint64_t seed, observations& seen) : random_(seed), seen_(seen) {}
+  upstream_work(std::uint64_t seed, observations& seen) : random_(seed), seen_(seen) {}
 
   /// Time that a run takes in addition to the usual work of its server, in ms.
   double extra_work_ms(const rig::Server& server) {
     std::lock_guard lock(mutex_);
-    mood& now = moods_[server.options.id];
+    phase& now = phases_[server.options.id];
     if (now_s() > now.until) {
       constexpr std::array<double, 8> works = {0, 0, 0, 30, 30, 250, 900, 2600};
       now.extra_ms = works.at(random_() % works.size());
@@ -111,13 +113,13 @@
   }
 
  private:
-  struct mood {
+  struct phase {
     double until = 0;
     double extra_ms = 0;
   };
   std::mutex mutex_;
   std::mt19937_64 random_;
-  std::map<std::string, mood> moods_;
+  std::map<std::string, phase> phases_;
   observations& seen_;
 };
 
@@ -225,13 +227,10 @@
     call.status = complete ? answer->status() : 0;
     call.by_upstream = complete && rig::by_server(*answer);
     judge(call, seen_, stopped_);
-    if (!complete || iequal(answer->header("Connection"), "close")) {
+    if (!complete || rig::iequal(answer->header("Connection"), "close")) {
       connection_ = nullptr;
     }
   }
-  static bool iequal(const std::string& one, const std::string& other) {
-    return rig::iequal(one, other);
-  }
 
   rig::Site& site_;
   observations& seen_;
@@ -255,19 +254,14 @@
     const double began = now_s();
     rig::record.line("%s gets SIGTERM", host.name.c_str());
     ::kill(host.pid, SIGTERM);
-    int status = 0;
-    while (!site_.deployment.ended(host, status)) {
-      if (now_s() > began + grace_s) {
-        std::lock_guard lock(seen_.mutex);
-        ++seen_.killed;
-        ::kill(host.pid, SIGKILL);
-        ::waitpid(host.pid, &status, 0);
-        break;
-      }
+    while (!start_again_if_ended(host, began)) {
       sleep_ms(5);
     }
-    rig::record.line("%s ended %.3f s after SIGTERM", host.name.c_str(), now_s() - began);
-    site_.deployment.start(host, false);
+  }
+  /// Sends SIGHUP to a host.
+  void hang_up(std::size_t index) {
+    const std::lock_guard lock(processes_);
+    ::kill(site_.deployment.hosts[index].pid, SIGHUP);
   }
   /// Restarts the given hosts in turn. Two threads must not share a host.
   void run(std::uint64_t seed, const std::vector<std::size_t>& hosts, double until) {
@@ -290,26 +284,40 @@
   }
 
  private:
+  bool start_again_if_ended(rig::Host& host, double stop_began) {
+    const std::lock_guard lock(processes_);
+    int status = 0;
+    if (!site_.deployment.ended(host, status)) {
+      if (now_s() <= stop_began + grace_s) {
+        return false;
+      }
+      const std::lock_guard counts(seen_.mutex);
+      ++seen_.killed;
+      ::kill(host.pid, SIGKILL);
+      ::waitpid(host.pid, &status, 0);
+    }
+    rig::record.line("%s ended %.3f s after SIGTERM", host.name.c_str(), now_s() - stop_began);
+    site_.deployment.start(host, false);
+    return true;
+  }
+
   rig::Site& site_;
   observations& seen_;
   stops& stopped_;
+  std::mutex processes_;  // Held while the process id of a host is used or changes.
   std::atomic<bool> callers_ended_ = false;
 };
 
 /// SIGHUPs, changes of the configuration, and upstreams that are drained and return.
-void disturb(rig::Site& site, std::uint64_t seed, double until) {
+void apply_changes(rig::Site& site, stopper& stopping, std::uint64_t seed, double until) {
   std::mt19937_64 random(seed);
   std::uint64_t version = 8;
   while (now_s() < until) {
     sleep_ms(static_cast<double>(100 + random() % 900));
     switch (random() % 3) {
-      case 0: {
-        const rig::Host& host = site.deployment.hosts[random() % host_count];
-        if (host.pid > 0) {
-          ::kill(host.pid, SIGHUP);
-        }
+      case 0:
+        stopping.hang_up(random() % host_count);
         break;
-      }
       case 1:
         site.store.put("op/config", make_config(version, static_cast<int>(version % 3)).text());
         ++version;
@@ -369,13 +377,13 @@
   const double seconds = number_from("RUN_SECONDS", 30);
   observations seen;
   stops stopped;
-  upstream_moods moods(seed, seen);
+  upstream_work work(seed, seen);
   rig::Site site(arguments.program, arguments.directory);
   site.add_hosts(static_cast<int>(host_count));
   for (int i = 0; i < 2 * servers_per_service; ++i) {
     rig::Server& server = site.add_server(i % 2 == 0 ? "reads" : "orders", i / 2, 2, 2, 40);
     server.on_run = [&](const rig::Server& where, const rig::Message& request) {
-      moods.on_run(where, request);
+      work.on_run(where, request);
     };
   }
   site.open_servers();
@@ -399,7 +407,7 @@
   threads.reserve(3);
   threads.emplace_back([&] { stopping.run(seed * 7 + 1, {0, 2}, until); });
   threads.emplace_back([&] { stopping.run(seed * 7 + 2, {1}, until); });
-  threads.emplace_back([&] { disturb(site, seed * 7 + 3, until); });
+  threads.emplace_back([&] { apply_changes(site, stopping, seed * 7 + 3, until); });
   for (std::thread& one : callers) {
     one.join();
   }
