Appoint the authorities for caps in the registry

Cause: each host took the first three seeds of its own settings, read once, for the authorities. Hosts whose settings were read at different times had different authorities, or ones that were gone.

Ruled out: a missing configuration (the refusal names the cap) and authorities that refuse (none answers). Reading the settings again is not enough: two lists in use at the same time still give the cap out twice. Leases of the store would stop all holders while the store is down.

Change: an entry of the registry names the holder of each slot, with an epoch and the number of hosts. It is changed by conditional writes only; hosts exchange the epoch and follow the later one. A seed takes the slot of a holder that is no seed and is unreachable, and reserves the shares of hosts that may still use the former holder.

--- a/include/catkintack/control/crash_reporter.hpp
+++ b/include/catkintack/control/crash_reporter.hpp
@@ -12,17 +12,11 @@
 
 #include "catkintack/base/hooks.hpp"
 #include "catkintack/choice/crash_record.hpp"
+#include "catkintack/control/change_outcome.hpp"
 #include "catkintack/serving/traffic_state.hpp"
 
 namespace catkintack::control {
 
-/// @brief How a conditional change of a registry entry ended.
-enum class change_outcome : std::uint8_t {
-  done,
-  conflict,    ///< The entry has changed since the revision that the change named.
-  unreachable  ///< No answer, or a refusal; the change may still be made.
-};
-
 /// @brief Outcome of a change, and the entry afterwards.
 struct change_result {
   change_outcome outcome = change_outcome::unreachable;
--- a/include/catkintack/control/quota_exchange.hpp
+++ b/include/catkintack/control/quota_exchange.hpp
@@ -6,12 +6,15 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "catkintack/base/address.hpp"
 #include "catkintack/control/datagram_channel.hpp"
 #include "catkintack/control/quota_message.hpp"
+#include "catkintack/control/quota_record.hpp"
+#include "catkintack/limits/quota_authorities.hpp"
 #include "catkintack/limits/quota_client.hpp"
 #include "catkintack/limits/quota_pool.hpp"
 #include "catkintack/serving/quota_decision.hpp"
@@ -22,13 +25,18 @@
 /// @brief Addresses and bounds of a quota exchange.
 struct quota_exchange_options {
   base::address self{};  ///< UDP address of this host.
-  /// UDP addresses of the authorities, the same on all hosts.
-  std::vector<base::address> authorities{};
   limits::quota_bounds bounds{};
+  /// Pause between queries of the seeds while no authorities are known.
+  base::duration first_query_interval = std::chrono::milliseconds(250);
+  /// The same while a known authority is unreachable.
+  base::duration query_interval = std::chrono::seconds(1);
 };
 
 /// @brief Requests tokens for the calls of this host, and gives them out where this host is an
 /// authority. Not thread-safe.
+///
+/// Hosts exchange the authorities that they know, and keep the latest. Which these are is decided
+/// by the registry, see quota_keeper; a host's seeds only tell it whom to ask.
 class quota_exchange {
  public:
   /// @param io Must outlive the exchange.
@@ -48,6 +56,19 @@
   void leave();
   bool detached() const { return client_.detached(state_.clock()); }
 
+  /// @brief Sets the UDP addresses of the hosts to ask for the authorities.
+  void set_seeds(std::vector<base::address> seeds) { seeds_ = std::move(seeds); }
+  const std::vector<base::address>& seeds() const { return seeds_; }
+  /// @brief Uses a record if its authorities are later than the known ones.
+  void adopt(const quota_record& record);
+  /// @brief Returns the latest authorities that this host knows; epoch 0 if it knows none.
+  const limits::quota_authorities& authorities() const { return authorities_; }
+  /// @brief Whether the holder of a slot has not replied for several heartbeats.
+  bool is_unreachable(std::size_t slot) const { return client_.is_unreachable(slot); }
+  /// @brief Returns the number of hosts that use this host's slot; nothing if it holds none.
+  std::optional<std::uint32_t> counted_hosts() const;
+  const base::address& self() const { return options_.self; }
+
  private:
   boost::asio::awaitable<void> run();
   void advance(const base::customer_id& customer);
@@ -61,14 +82,23 @@
   void log_refused_message(const base::address& host, const char* why);
   void log_attachment();
   void log_reservation();
-  bool is_authority() const;
+  bool is_authority() const { return pool_.has_value(); }
+  void start_or_end_slot(bool knew_others, std::uint32_t recorded_hosts);
+  void query_seeds();
+  void send_authorities(const base::address& host);
+  void receive_authorities(const quota_message& message, const base::address& sender);
+  void compare_epochs(const quota_message& message, const base::address& sender);
 
   serving::traffic_state& state_;
   quota_exchange_options options_;
   boost::asio::io_context& io_;
   datagram_channel channel_;
   limits::quota_client client_;
-  limits::quota_pool pool_;
+  std::optional<limits::quota_pool> pool_;  ///< Set while this host holds a slot.
+  limits::quota_authorities authorities_;
+  std::uint32_t recorded_hosts_ = 0;  ///< Of the newest record.
+  std::vector<base::address> seeds_;
+  base::instant queried_at_ = base::instant::min();
   boost::asio::steady_timer timer_;
   /// Timers of the calls that wait for a token.
   std::multimap<base::customer_id, boost::asio::steady_timer*> waiting_;
--- a/include/catkintack/limits/quota_client.hpp
+++ b/include/catkintack/limits/quota_client.hpp
@@ -23,7 +23,7 @@
 
 /// @brief Times of the exchange with the authorities.
 struct quota_client_options {
-  std::size_t authority_count = 0;
+  std::size_t authority_count = 0;  ///< Slots; can change later, see set_authority_count.
   quota_bounds bounds{};
   /// Longest wait of a call for a token.
   base::duration max_wait = std::chrono::milliseconds(240);
@@ -39,6 +39,8 @@
   base::duration detach_after = std::chrono::milliseconds(1500);
   /// A lease is used for so long after it was received. Shorter than at the authority.
   base::duration lease_time = std::chrono::minutes(9);
+  /// Heartbeats in a row without a reply after which an authority counts as unreachable.
+  unsigned unreachable_after = 7;
   /// Retry-After if the host has neither an authority nor a share.
   base::duration unavailable_retry_after = std::chrono::milliseconds(300);
 };
@@ -50,6 +52,17 @@
 
   quota_client(quota_client_options options, base::random_hook random);
 
+  /// @brief Sets the number of slots. Slots that are added have no holder that answered yet.
+  void set_authority_count(std::size_t count);
+  /// @brief Records that a slot has another holder. Tokens in hand stay valid; the lease of the
+  /// former holder is not used any more, but is confirmed to the new one, which has to know of it.
+  void replace_authority(std::size_t authority);
+  /// @brief Whether an authority has not replied to several heartbeats in a row. Time in which this
+  /// host sent none, since it was frozen, does not count.
+  bool is_unreachable(std::size_t authority) const {
+    return peers_[authority].unanswered >= options_.unreachable_after;
+  }
+
   /// @brief Adds a call that needs a token. The customer must have a rate.
   ticket submit(const routes::customer_policy& customer, base::instant now);
   /// @brief Removes and returns the decision on a call; nothing while it waits.
@@ -95,7 +108,9 @@
   struct peer {
     std::optional<double> response_us{};  ///< Moving average.
     base::instant silent_until = base::instant::min();
-    int timeouts = 0;  ///< Since the last reply.
+    int timeouts = 0;         ///< Since the last reply.
+    unsigned unanswered = 0;  ///< Heartbeat intervals since the last reply.
+    base::instant counted_at = base::instant::min();
     base::instant sent_at = base::instant::min();
     base::instant lease_asked_at = base::instant::min();
     base::instant lease_received_at = base::instant::min();
--- a/include/catkintack/limits/quota_pool.hpp
+++ b/include/catkintack/limits/quota_pool.hpp
@@ -29,6 +29,12 @@
   base::duration lease_time = std::chrono::minutes(10);
   /// A first run gives no leases until then, since it has not counted the hosts yet.
   base::duration counting_time = std::chrono::seconds(2);
+  /// Hosts with a share of an earlier holder of the slot; 0 for the first holder or a restart.
+  std::uint32_t inherited_hosts = 0;
+  /// Time for which a host must have been heard before its share is given out. After a change of
+  /// the holder it must be longer than missing_after: until then, the former holder may not have
+  /// reserved the share of the host.
+  base::duration handover_time{};
   /// Longest time after which a refused caller should retry.
   base::duration max_retry_after = std::chrono::seconds(3);
 };
@@ -65,6 +71,7 @@
 
  private:
   struct host_record {
+    base::instant first_heard_at{};
     base::instant heard_at{};
     quota_lease last_sent{};
     double held_share = 0;  ///< The largest share that the host may have received last.
--- a/src/catkintack/control/quota_exchange.cpp
+++ b/src/catkintack/control/quota_exchange.cpp
@@ -105,12 +105,7 @@
       options_(std::move(options)),
       io_(io),
       channel_(io, state, "quota"),
-      client_({.authority_count = options_.authorities.size(), .bounds = options_.bounds},
-              state.random),
-      pool_({.authority_count = std::max<std::size_t>(options_.authorities.size(), 1),
-             .run = base::incarnation(make_run(state.random)),
-             .bounds = options_.bounds},
-            state.clock()),
+      client_({.bounds = options_.bounds}, state.random),
       timer_(io) {}
 
 boost::system::error_code quota_exchange::open() {
@@ -123,8 +118,116 @@
   return error;
 }
 
-bool quota_exchange::is_authority() const {
-  return std::ranges::find(options_.authorities, options_.self) != options_.authorities.end();
+std::optional<std::uint32_t> quota_exchange::counted_hosts() const {
+  return pool_ ? std::optional(static_cast<std::uint32_t>(pool_->host_count())) : std::nullopt;
+}
+
+void quota_exchange::adopt(const quota_record& record) {
+  if (record.authorities < authorities_ || record.authorities.holders.empty()) {
+    return;
+  }
+  recorded_hosts_ = record.host_count;
+  if (record.authorities == authorities_) {
+    return;
+  }
+  const limits::quota_authorities former = std::exchange(authorities_, record.authorities);
+  const std::vector<base::address>& holders = authorities_.holders;
+  client_.set_authority_count(holders.size());
+  for (std::size_t slot = 0; slot < std::min(holders.size(), former.holders.size()); ++slot) {
+    if (holders[slot] != former.holders[slot]) {
+      client_.replace_authority(slot);
+      // The former holder must stop giving out tokens; it may not have heard of the change.
+      send_authorities(former.holders[slot]);
+    }
+  }
+  std::string names;
+  for (const base::address& holder : holders) {
+    names += (names.empty() ? "" : " ") + base::to_string(holder);
+  }
+  state_.log.write("quota_authorities_changed",
+                   {{"epoch", authorities_.epoch}, {"holders", names}});
+  start_or_end_slot(former.epoch > 0, record.host_count);
+  std::vector<base::customer_id> waiting;
+  for (const auto& [customer, timer] : waiting_) {
+    if (waiting.empty() || waiting.back() != customer) {
+      waiting.push_back(customer);
+    }
+  }
+  for (const base::customer_id& customer : waiting) {
+    advance(customer);
+  }
+}
+
+void quota_exchange::start_or_end_slot(bool knew_others, std::uint32_t recorded_hosts) {
+  if (std::ranges::find(authorities_.holders, options_.self) == authorities_.holders.end()) {
+    pool_.reset();
+    return;
+  }
+  if (pool_) {
+    return;
+  }
+  limits::quota_pool_options options{.authority_count = authorities_.holders.size(),
+                                     .run = base::incarnation(make_run(state_.random)),
+                                     .bounds = options_.bounds};
+  if (knew_others) {
+    // The slot had another holder, which may still give out tokens to hosts that reach it.
+    constexpr base::duration margin = std::chrono::milliseconds(300);
+    options.inherited_hosts = recorded_hosts;
+    options.handover_time = options.missing_after + margin;
+  }
+  pool_.emplace(options, state_.clock());
+}
+
+void quota_exchange::send_authorities(const base::address& host) {
+  if (host != options_.self) {
+    channel_.send(encode(quota_message{.kind = quota_message_kind::authorities,
+                                       .host_count = recorded_hosts_,
+                                       .epoch = authorities_.epoch,
+                                       .holders = authorities_.holders}),
+                  host);
+  }
+}
+
+void quota_exchange::query_seeds() {
+  bool all_reachable = authorities_.epoch > 0;
+  for (std::size_t slot = 0; slot < authorities_.holders.size(); ++slot) {
+    all_reachable = all_reachable && !client_.is_unreachable(slot);
+  }
+  const base::instant now = state_.clock();
+  const base::duration interval =
+      authorities_.epoch == 0 ? options_.first_query_interval : options_.query_interval;
+  if (all_reachable || (queried_at_ != base::instant::min() && now - queried_at_ < interval)) {
+    return;
+  }
+  queried_at_ = now;
+  std::ranges::for_each(seeds_, [this](const base::address& seed) { send_authorities(seed); });
+}
+
+void quota_exchange::receive_authorities(const quota_message& message,
+                                         const base::address& sender) {
+  constexpr std::size_t max_holders = 16;
+  const bool valid = message.holders.size() <= max_holders &&
+                     (message.epoch > 0) == !message.holders.empty() &&
+                     std::ranges::all_of(message.holders, [](const base::address& holder) {
+                       return base::parse_address(base::to_string(holder)).has_value();
+                     });
+  if (!valid) {
+    log_refused_message(sender, "the authorities are malformed");
+    return;
+  }
+  const limits::quota_authorities received{message.epoch, message.holders};
+  if (received < authorities_) {
+    send_authorities(sender);
+  } else {
+    adopt({.authorities = received, .host_count = std::max(message.host_count, recorded_hosts_)});
+  }
+}
+
+void quota_exchange::compare_epochs(const quota_message& message, const base::address& sender) {
+  // An older build sends no epoch, and would refuse the authorities.
+  if (message.epoch > 0 && message.epoch != authorities_.epoch) {
+    send_authorities(sender);
+  }
 }
 
 asio::awaitable<void> quota_exchange::run() {
@@ -185,8 +288,9 @@
 /// @return Whether the answer was applied immediately.
 bool quota_exchange::send_to_authority(quota_message message, std::size_t authority) {
   put_lease(client_.lease_of(authority), message);
-  if (options_.authorities[authority] != options_.self) {
-    channel_.send(encode(message), options_.authorities[authority]);
+  message.epoch = authorities_.epoch;
+  if (authorities_.holders[authority] != options_.self) {
+    channel_.send(encode(message), authorities_.holders[authority]);
     return false;
   }
   apply_reply(answer(message, options_.self), authority);
@@ -195,11 +299,12 @@
 
 quota_message quota_exchange::answer(const quota_message& message, const base::address& host) {
   const base::instant now = state_.clock();
-  pool_.on_message(host, lease_in(message), now);
+  pool_->on_message(host, lease_in(message), now);
   quota_message reply{.kind = quota_message_kind::reply,
                       .customer = message.customer,
-                      .asked_at_us = message.asked_at_us};
-  put_lease(pool_.lease(host, now), reply);
+                      .asked_at_us = message.asked_at_us,
+                      .epoch = authorities_.epoch};
+  put_lease(pool_->lease(host, now), reply);
   if (message.kind != quota_message_kind::request) {
     return reply;
   }
@@ -211,7 +316,7 @@
     reply.granted = message.wanted;  // The configuration in force here has no cap.
   } else {
     const limits::quota_grant grant =
-        pool_.take(*policy, message.wanted, message.refused_before, now);
+        pool_->take(*policy, message.wanted, message.refused_before, now);
     reply.granted = grant.granted;
     reply.wait_us = grant.wait.count();
     reply.retry_after_us = grant.retry_after.count();
@@ -245,16 +350,16 @@
 }
 
 void quota_exchange::handle_reply(const quota_message& reply, const base::address& from) {
-  const auto authority = std::ranges::find(options_.authorities, from);
-  if (authority == options_.authorities.end()) {
-    log_refused_message(from, "a reply of a host that is no authority");
+  const auto authority = std::ranges::find(authorities_.holders, from);
+  if (authority == authorities_.holders.end()) {
+    state_.metrics.add("quota_late_replies_total");  // Of a host that was an authority before.
     return;
   }
   if (!is_valid_reply(reply)) {
     log_refused_message(from, "a value is out of range");
     return;
   }
-  apply_reply(reply, static_cast<std::size_t>(authority - options_.authorities.begin()));
+  apply_reply(reply, static_cast<std::size_t>(authority - authorities_.holders.begin()));
   log_attachment();
   advance(reply.customer);
 }
@@ -263,12 +368,19 @@
   const auto message = decode<quota_message>(bytes);
   if (!message) {
     log_refused_message(sender, "malformed, or of another version");
-  } else if (message->kind == quota_message_kind::reply) {
+    return;
+  }
+  if (message->kind == quota_message_kind::authorities) {
+    receive_authorities(*message, sender);
+    return;
+  }
+  compare_epochs(*message, sender);
+  if (message->kind == quota_message_kind::reply) {
     handle_reply(*message, sender);
   } else if (!is_authority()) {
     log_refused_message(sender, "this host is no authority");
   } else if (message->kind == quota_message_kind::leave) {
-    pool_.on_leave(sender);
+    pool_->on_leave(sender);
     state_.log.write("quota_host_left", {{"host", base::to_string(sender)}});
   } else if (message->kind == quota_message_kind::heartbeat ||
              message->kind == quota_message_kind::request) {
@@ -297,8 +409,9 @@
       {{"customer", customer.value()},
        {"why", label_of(verdict.outcome)},
        {"wait_us", verdict.retry_after.count()},
-       {"authority",
-        verdict.authority ? base::to_string(options_.authorities[*verdict.authority]) : ""},
+       {"authority", verdict.authority && *verdict.authority < authorities_.holders.size()
+                         ? base::to_string(authorities_.holders[*verdict.authority])
+                         : ""},
        {"tokens", std::to_string(verdict.tokens_left)}});
   const bool above = verdict.outcome == limits::quota_outcome::above_cap ||
                      verdict.outcome == limits::quota_outcome::above_share;
@@ -312,6 +425,7 @@
   if (!state_.table || !state_.table->has_customers()) {
     return;
   }
+  query_seeds();
   const base::instant now = state_.clock();
   for (const std::size_t authority : client_.heartbeats_due(now)) {
     send_to_authority({.asked_at_us = now.time_since_epoch().count()}, authority);
@@ -332,32 +446,34 @@
   was_detached_ = now_detached;
   state_.metrics.set("quota_detached", now_detached ? 1 : 0);
   state_.log.write(now_detached ? "quota_detached" : "quota_attached",
-                   {{"authorities", options_.authorities.size()},
+                   {{"authorities", authorities_.holders.size()},
                     {"share", std::to_string(client_.own_share(state_.clock()))}});
 }
 
 void quota_exchange::log_reservation() {
   const base::instant now = state_.clock();
-  const double reserved = pool_.reserved(now);
-  state_.metrics.set("quota_hosts", static_cast<double>(pool_.host_count()));
-  state_.metrics.set("quota_hosts_missing", static_cast<double>(pool_.missing_count()));
+  const double reserved = pool_->reserved(now);
+  state_.metrics.set("quota_hosts", static_cast<double>(pool_->host_count()));
+  state_.metrics.set("quota_hosts_missing", static_cast<double>(pool_->missing_count()));
   state_.metrics.set("quota_reserved_share", reserved);
   const bool recent =
       missing_logged_at_ != base::instant::min() && now - missing_logged_at_ < min_log_interval;
-  if (pool_.missing_count() == logged_missing_ || recent) {
+  if (pool_->missing_count() == logged_missing_ || recent) {
     return;
   }
-  logged_missing_ = pool_.missing_count();
+  logged_missing_ = pool_->missing_count();
   missing_logged_at_ = now;
   state_.log.write("quota_share_reserved", {{"hosts_missing", logged_missing_},
-                                            {"hosts", pool_.host_count()},
+                                            {"hosts", pool_->host_count()},
                                             {"share", std::to_string(reserved)}});
 }
 
 void quota_exchange::leave() {
-  for (const base::address& authority : options_.authorities) {
+  for (const base::address& authority : authorities_.holders) {
     if (authority != options_.self) {
-      channel_.send(encode(quota_message{.kind = quota_message_kind::leave}), authority);
+      channel_.send(
+          encode(quota_message{.kind = quota_message_kind::leave, .epoch = authorities_.epoch}),
+          authority);
     }
   }
 }
--- a/src/catkintack/control/quota_exchange_test.cpp
+++ b/src/catkintack/control/quota_exchange_test.cpp
@@ -3,11 +3,9 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 #include "catkintack/control/message_channel.hpp"
-#include "catkintack/routes/route_table_builder.hpp"
+#include "quota_host.hpp"
 
 namespace catkintack::control {
 namespace {
@@ -16,60 +14,9 @@
 using asio::ip::udp;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
-
-const routes::customer_policy press_customer{.id = base::customer_id("press-co"),
-                                             .rate_per_second = 3,
-                                             .burst = 3};
-
-base::address free_udp_address() {
-  asio::io_context io;
-  const udp::socket bound(io, {asio::ip::make_address("127.0.0.1"), 0});
-  return {"127.0.0.1", bound.local_endpoint().port()};
-}
-
-/// @brief A host with a clock of its own, which the test moves.
-struct quota_host {
-  quota_host(asio::io_context& io, const base::address& self, std::vector<base::address> seeds)
-      : io_context(io),
-        state(
-            {},
-            [this] { return now; },
-            base::seeded_random_hook(1),
-            log),
-        exchange(io, state, {.self = self, .authorities = std::move(seeds)}) {
-    EXPECT_FALSE(exchange.open());
-    set_customers({press_customer});
-  }
-  void set_customers(const std::vector<routes::customer_policy>& customers) {
-    routes::route_table_builder builder{base::list_version(1)};
-    for (const auto& one : customers) {
-      builder.add(one);
-    }
-    state.table = std::make_shared<const routes::route_table>(std::move(builder).build());
-  }
-  void call() {
-    asio::co_spawn(
-        io_context,
-        [this]() -> asio::awaitable<void> {
-          serving::quota_decision decision = co_await exchange.admit(press_customer);
-          decisions.push_back(std::move(decision));
-        },
-        asio::detached);
-  }
-  bool has_logged(const std::string& event) const {
-    return std::ranges::any_of(
-        log_lines, [&](const std::string& line) { return line.find(event) != std::string::npos; });
-  }
-
-  base::instant now{seconds(1000)};
-  std::vector<std::string> log_lines;
-  logging::structured_log log{[] { return base::wall_time(); }, [this] { return now; },
-                              [this](const std::string& line) { log_lines.push_back(line); }};
-  asio::io_context& io_context;
-  serving::traffic_state state;
-  quota_exchange exchange;
-  std::vector<serving::quota_decision> decisions;
-};
+using tests::free_udp_address;
+using tests::press_customer;
+using tests::quota_host;
 
 /// @brief An authority and another host, with clocks that differ by minutes.
 struct quota_fleet {
@@ -154,6 +101,9 @@
                             .lease_run = base::incarnation(5),
                             .lease_share = 1e300,
                             .host_count = 0xffffffff}));
+  send(encode(quota_message{.kind = quota_message_kind::authorities, .epoch = 9}));
+  send(encode(quota_message{
+      .kind = quota_message_kind::authorities, .epoch = 9, .holders = {{"no address", 1}}}));
   fleet.other.now += seconds(30);
   fleet.authority.now += seconds(30);
   fleet.other.call();
@@ -162,5 +112,37 @@
   EXPECT_TRUE(fleet.authority.has_logged("quota_message_refused"));
 }
 
+// Guards against hosts that never hear of a change: the former authority must stop giving out
+// tokens.
+TEST(quota_exchange, hosts_tell_each_other_the_latest_authorities) {
+  quota_fleet fleet;
+  quota_host next(fleet.io, free_udp_address());
+  const limits::quota_authorities latest{.epoch = 2, .holders = {next.exchange.self()}};
+  next.exchange.adopt({.authorities = latest, .host_count = 2});
+  fleet.other.exchange.adopt({.authorities = latest, .host_count = 2});
+  ASSERT_TRUE(fleet.run_until([&] { return fleet.authority.exchange.authorities().epoch == 2; }));
+  EXPECT_FALSE(fleet.authority.exchange.counted_hosts());
+  EXPECT_TRUE(next.exchange.counted_hosts());
+}
+
+TEST(quota_exchange, host_without_authorities_asks_its_seeds) {
+  quota_fleet fleet;
+  quota_host fresh(fleet.io, free_udp_address());
+  fresh.exchange.set_seeds({fleet.where});
+  fresh.exchange.maintain();
+  ASSERT_TRUE(fleet.run_until([&] { return fresh.exchange.authorities().epoch == 1; }));
+  fresh.call();
+  ASSERT_TRUE(fleet.run_until([&] { return !fresh.decisions.empty(); }));
+  EXPECT_TRUE(fresh.decisions[0].admitted);
+}
+
+TEST(quota_exchange, older_authorities_are_ignored) {
+  quota_fleet fleet;
+  fleet.other.exchange.adopt(
+      {.authorities = {.epoch = 4, .holders = {fleet.other.exchange.self()}}});
+  fleet.other.exchange.adopt({.authorities = {.epoch = 3, .holders = {fleet.where}}});
+  EXPECT_EQ(fleet.other.exchange.authorities().epoch, 4U);
+}
+
 }  // namespace
 }  // namespace catkintack::control
--- a/src/catkintack/limits/quota_client.cpp
+++ b/src/catkintack/limits/quota_client.cpp
@@ -27,6 +27,24 @@
 quota_client::quota_client(quota_client_options options, base::random_hook random)
     : options_(options), random_(std::move(random)), peers_(options.authority_count) {}
 
+void quota_client::set_authority_count(std::size_t count) {
+  peers_.resize(count);
+  for (auto& [customer, owner] : accounts_) {
+    owner.relations.resize(count);
+    std::erase_if(owner.tokens,
+                  [count](const token_batch& batch) { return batch.authority >= count; });
+  }
+}
+
+void quota_client::replace_authority(std::size_t authority) {
+  quota_lease former = peers_[authority].lease;
+  former.share = 0;
+  peers_[authority] = peer{.lease = former};
+  for (auto& [customer, owner] : accounts_) {
+    owner.relations[authority] = relation{};
+  }
+}
+
 base::duration quota_client::timeout_of(const peer& authority) const {
   if (!authority.response_us) {
     return options_.first_timeout;
@@ -219,7 +237,8 @@
     const base::instant submitted = owner.waiting.front().submitted;
     bool closed = now - submitted >= options_.max_wait;
     if (!closed) {
-      closed = true;
+      // While the authorities are not known yet, a call waits for them.
+      closed = !peers_.empty();
       for (std::size_t i = 0; i < peers_.size(); ++i) {
         closed = closed && !owner.relations[i].open && closed_to(owner, i, submitted, now);
       }
@@ -335,6 +354,7 @@
                          : sample;
   from.silent_until = base::instant::min();
   from.timeouts = 0;
+  from.unanswered = 0;
   const bool new_run = from.lease.run != lease.run;
   from.lease_asked_at = asked_at;
   from.lease_received_at = now;
@@ -346,6 +366,11 @@
 std::vector<std::size_t> quota_client::heartbeats_due(base::instant now) {
   std::vector<std::size_t> due;
   for (std::size_t i = 0; i < peers_.size(); ++i) {
+    if (peers_[i].counted_at == base::instant::min() ||
+        now - peers_[i].counted_at >= options_.heartbeat_interval) {
+      peers_[i].counted_at = now;
+      ++peers_[i].unanswered;
+    }
     if (peers_[i].sent_at == base::instant::min() ||
         now - peers_[i].sent_at >= options_.heartbeat_interval) {
       peers_[i].sent_at = now;
--- a/src/catkintack/limits/quota_fleet_test.cpp
+++ b/src/catkintack/limits/quota_fleet_test.cpp
@@ -24,7 +24,13 @@
 constexpr std::size_t authority_count = 3;
 
 /// @brief A fault that the checker must detect.
-enum class mutant : std::uint8_t { none, cap_per_host, full_after_restart, share_not_reserved };
+enum class mutant : std::uint8_t {
+  none,
+  cap_per_host,
+  full_after_restart,
+  share_not_reserved,
+  nothing_inherited,  ///< A host that takes a slot over does not know of the hosts that used it.
+};
 
 struct fleet_options {
   std::size_t host_count = 3;
@@ -42,10 +48,11 @@
     for (std::size_t i = 0; i < options_.host_count; ++i) {
       hosts_.emplace_back(client, random_);
     }
-    cut_.resize(options_.host_count);
+    side_.resize(options_.host_count);
     for (std::size_t i = 0; i < authority_count; ++i) {
-      pools_.push_back(make_pool());
+      pools_.push_back({make_pool(), i});
     }
+    pool_of_.assign(options_.host_count, {0, 1, 2});
   }
 
   base::instant now() const { return now_; }
@@ -76,10 +83,35 @@
     std::erase_if(waiting_, [&](const auto& one) { return one.host == host; });
   }
   void restart_authority(std::size_t index) {
-    pools_[index] = make_pool();
+    pools_[index].pool = make_pool();
     restart_host(index);
   }
-  void cut(std::size_t host, bool is_cut) { cut_[host] = is_cut; }
+  void cut(std::size_t host, bool is_cut) { side_[host] = is_cut ? host + 1 : 0; }
+  /// @brief Moves a host to one of the sides of a network that is cut in two.
+  void move(std::size_t host, std::size_t side) { side_[host] = side; }
+  /// @brief Another host takes a slot over. Hosts on its side know of that, the others do not.
+  void take_over(std::size_t slot, std::size_t host) {
+    quota_pool_options pool{.authority_count = authority_count, .run = base::incarnation(++runs_)};
+    const bool inherits = options_.fault != mutant::nothing_inherited;
+    pool.inherited_hosts = inherits ? static_cast<std::uint32_t>(options_.host_count) : 0;
+    pool.handover_time = milliseconds(1500);
+    pools_.push_back({quota_pool(pool, now_), host});
+    latest_pool_[slot] = pools_.size() - 1;
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+      if (side_[i] == side_[host]) {
+        follow(i);
+      }
+    }
+  }
+  /// @brief A host learns of the latest holders of all slots.
+  void follow(std::size_t host) {
+    for (std::size_t slot = 0; slot < authority_count; ++slot) {
+      if (pool_of_[host][slot] != latest_pool_[slot]) {
+        pool_of_[host][slot] = latest_pool_[slot];
+        hosts_[host].replace_authority(slot);
+      }
+    }
+  }
   void set_policy(const routes::customer_policy& policy) { policies_[policy.id] = policy; }
 
   const std::vector<base::instant>& admitted(const base::customer_id& customer) {
@@ -99,6 +131,11 @@
     base::customer_id customer;
   };
 
+  struct located_pool {
+    quota_pool pool;
+    std::size_t host;
+  };
+
   static base::address address_of(std::size_t host) {
     return {"host", static_cast<std::uint16_t>(host)};
   }
@@ -114,7 +151,7 @@
 
   void deliver(std::size_t from, std::size_t to, std::function<void()> event) {
     ++messages_;
-    if (from != to && (cut_[from] || cut_[to] || random_() % 100 < options_.lost_percent)) {
+    if (from != to && (side_[from] != side_[to] || random_() % 100 < options_.lost_percent)) {
       return;
     }
     constexpr std::uint64_t late_one_in = 100;
@@ -146,25 +183,30 @@
     if (options_.fault == mutant::share_not_reserved) {
       confirmed.host_count = 0;  // A restarted authority does not know of hosts that are cut off.
     }
-    deliver(
-        host, authority, [this, host, authority, customer, request, confirmed, asked_at = now_] {
-          quota_pool& pool = pools_[authority];
-          pool.on_message(address_of(host), confirmed, now_);
-          const quota_lease lease = pool.lease(address_of(host), now_);
-          quota_grant grant;
-          if (request.wanted > 0) {
-            grant = pool.take(policies_.at(customer), request.wanted, request.refused_before, now_);
-          }
-          deliver(authority, host, [this, host, authority, customer, asked_at, lease, grant] {
-            if (hosts_[host].on_lease(authority, asked_at, lease, now_)) {
-              send(host, authority, base::customer_id(), {});
-            }
-            if (!customer.value().empty()) {
-              hosts_[host].on_grant(authority, customer, asked_at, grant, now_);
-              run_client(host, customer);
-            }
-          });
-        });
+    const std::size_t holder = pool_of_[host][authority];
+    deliver(host, pools_[holder].host,
+            [this, host, holder, authority, customer, request, confirmed, asked_at = now_] {
+              quota_pool& pool = pools_[holder].pool;
+              pool.on_message(address_of(host), confirmed, now_);
+              const quota_lease lease = pool.lease(address_of(host), now_);
+              quota_grant grant;
+              if (request.wanted > 0) {
+                grant =
+                    pool.take(policies_.at(customer), request.wanted, request.refused_before, now_);
+              }
+              deliver(pools_[holder].host, host, [=, this] {
+                if (pool_of_[host][authority] != holder) {
+                  return;  // The slot has another holder by now.
+                }
+                if (hosts_[host].on_lease(authority, asked_at, lease, now_)) {
+                  send(host, authority, base::customer_id(), {});
+                }
+                if (!customer.value().empty()) {
+                  hosts_[host].on_grant(authority, customer, asked_at, grant, now_);
+                  run_client(host, customer);
+                }
+              });
+            });
   }
   std::uint32_t own_grant(std::size_t host, const base::customer_id& customer) {
     const auto [pool, created] =
@@ -201,9 +243,11 @@
   std::uint64_t runs_ = 0;
   std::size_t phase_ = 0;
   std::vector<quota_client> hosts_;
-  std::vector<quota_pool> pools_;
+  std::vector<located_pool> pools_;
+  std::vector<std::vector<std::size_t>> pool_of_;  ///< Index into pools_, by host and slot.
+  std::vector<std::size_t> latest_pool_{0, 1, 2};  ///< By slot.
   std::map<std::size_t, quota_pool> own_pools_;
-  std::vector<bool> cut_;
+  std::vector<std::size_t> side_;  ///< Hosts on different sides cannot reach each other.
   std::map<base::customer_id, routes::customer_policy> policies_;
   std::multimap<base::instant, std::function<void()>> events_;
   std::vector<waiting_call> waiting_;
@@ -373,6 +417,77 @@
   EXPECT_GT(worst_excess(mutant::share_not_reserved, make_policy(120, 60)), 0);
 }
 
+/// @brief The network is cut in two for 15 s, with the authorities on one side. On the other side,
+/// hosts restart or not, and three of them take the slots over one after the other. Hosts on both
+/// sides are asked for far more than the cap.
+/// @return Like excess_under_attack.
+double excess_at_handover(fleet_options options, const routes::customer_policy& policy) {
+  capped_fleet fleet(options);
+  call_source source(options.seed + 1);
+  fleet.set_policy(policy);
+  const std::size_t hosts = options.host_count;
+  const std::size_t first_cut = hosts / 2;
+  const auto random_ticks = [&](std::size_t bound) {
+    return tick * static_cast<base::duration::rep>(source.below(bound));
+  };
+  const base::instant start = fleet.now();
+  const base::instant cut_at = start + seconds(6);
+  const base::instant taken_at = cut_at + milliseconds(1500) + random_ticks(600);
+  const base::instant healed_at = cut_at + seconds(15);
+  const base::instant flood_at = cut_at - seconds(1) + random_ticks(1000);
+  const bool restarts = source.below(2) == 0;
+  while (fleet.now() < healed_at + seconds(6)) {
+    const base::instant now = fleet.now();
+    for (std::size_t i = first_cut; i < hosts; ++i) {
+      if (now == cut_at || now == healed_at) {
+        fleet.move(i, now == cut_at ? 1 : 0);
+      }
+      if (now == cut_at + seconds(1) && restarts) {
+        fleet.restart_host(i);
+      }
+    }
+    for (std::size_t slot = 0; slot < authority_count; ++slot) {
+      if (now == taken_at + slot * milliseconds(100)) {
+        fleet.take_over(slot, hosts - 1 - slot);
+      }
+    }
+    if (now == healed_at + milliseconds(400)) {
+      for (std::size_t i = 0; i < hosts; ++i) {
+        fleet.follow(i);
+      }
+    }
+    const std::size_t count = now < flood_at ? 0 : source.calls(allowed(policy) / 2);
+    for (std::size_t i = 0; i < count; ++i) {
+      fleet.call(policy, source.below(hosts));
+    }
+    fleet.step();
+  }
+  return static_cast<double>(most_in_a_window(fleet.admitted(policy.id))) - allowed(policy);
+}
+
+// Guards against a cap that is given out twice, by the former and the new holder of a slot, while
+// neither can reach the other.
+RC_GTEST_PROP(capped_fleet, stays_within_the_cap_when_a_slot_is_taken_over, ()) {
+  const auto hosts = *rc::gen::element<std::size_t>(6, 9, 18);
+  const auto rate = *rc::gen::element(3.2, 16.0, 60.0);
+  const auto burst = *rc::gen::element(0.5, 2.0, 5.0);
+  const auto seed = *rc::gen::inRange<std::uint64_t>(0, 1000000);
+  const routes::customer_policy policy =
+      make_policy(rate, static_cast<std::uint32_t>(burst * rate));
+  RC_ASSERT(excess_at_handover({.host_count = hosts, .seed = seed}, policy) <= 0);
+}
+
+TEST(capped_fleet, bound_detects_a_holder_that_does_not_know_of_the_other_hosts) {
+  double worst = std::numeric_limits<double>::lowest();
+  for (std::uint64_t seed = 0; seed < 6; ++seed) {
+    worst = std::max(
+        worst,
+        excess_at_handover({.host_count = 18, .seed = seed, .fault = mutant::nothing_inherited},
+                           make_policy(120, 60)));
+  }
+  EXPECT_GT(worst, 0);
+}
+
 // Guards against hosts that refuse everything while they are cut off, and against a share that is
 // not available again afterwards.
 TEST(capped_fleet, hosts_that_are_cut_off_use_their_share) {
--- a/src/catkintack/limits/quota_pool.cpp
+++ b/src/catkintack/limits/quota_pool.cpp
@@ -19,7 +19,10 @@
 }  // namespace
 
 quota_pool::quota_pool(quota_pool_options options, base::instant started_at)
-    : options_(options), started_at_(started_at), reserved_since_(started_at) {}
+    : options_(options),
+      started_at_(started_at),
+      inherited_count_(options.inherited_hosts),
+      reserved_since_(started_at) {}
 
 std::size_t quota_pool::host_count() const {
   return std::max<std::size_t>(hosts_.size(), inherited_count_);
@@ -33,7 +36,11 @@
 void quota_pool::on_message(const base::address& host,
                             const quota_lease& confirmed,
                             base::instant now) {
-  host_record& entry = hosts_[host];
+  const auto [found, created] = hosts_.try_emplace(host);
+  host_record& entry = found->second;
+  if (created) {
+    entry.first_heard_at = now;
+  }
   entry.heard_at = now;
   if (confirmed.run != options_.run) {
     constexpr std::uint32_t max_hosts = 10000;
@@ -45,6 +52,9 @@
   if (confirmed.sent_at > entry.last_sent.sent_at) {
     return;  // Not sent by this run.
   }
+  if (now - entry.first_heard_at < options_.handover_time) {
+    return;
+  }
   if (entry.confirmed_at == base::instant::min()) {
     ++confirmed_count_;
   }
