Transfer the restrictions of routes by position, not by name

What callers saw: a version that adds a public route to a second virtual host made the route of the same name on the first one public, on the hosts that received the version from another host.

Cause: the extension of a table names the restricted routes by their name only, which is unique within a virtual host. The receiver applied the restrictions to each route of the name; regions of residence were exchanged in the same way.

Ruled out: matching (hosts that read the version from the store answer 401) and differences between tables (not used when a name is repeated).

Change: restrictions follow as positions in the list of routes, after the parts that older builds know. With an older build, where only names are known, a repeated name opens no route and allows only regions that all its routes allow. The statistics of service times, sizes and deadlines are kept by host and prefix for the same reason.

--- a/include/catkintack/control/feed_message.hpp
+++ b/include/catkintack/control/feed_message.hpp
@@ -76,11 +76,28 @@
   }
 };
 
+/// @brief Restrictions of the routes in the extensions of one message.
+struct feed_restrictions {
+  using list = std::vector<routes::route_restriction>;
+  std::vector<list> batches{};  ///< In the order of the batches.
+  list snapshot{};
+
+  /// @brief Serializes with cereal.
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(batches, snapshot);
+  }
+};
+
 struct feed_changes;
 /// @brief Extracts the extensions of a message.
 feed_extensions make_extensions(const feed_changes& changes);
 /// @brief Completes a message that was decoded without its extensions.
 void apply_extensions(feed_changes& changes, const feed_extensions& extensions);
+/// @brief Extracts the restrictions from the extensions.
+feed_restrictions make_restrictions(const feed_extensions& extensions);
+/// @brief Puts restrictions that were transferred separately into the extensions.
+void put_restrictions(feed_extensions& extensions, feed_restrictions restrictions);
 
 /// @brief Changes to the state of a subscriber.
 struct feed_changes {
@@ -88,10 +105,12 @@
   /// Replaces the batches for a host that is too far behind.
   std::optional<registry_snapshot> snapshot{};
 
-  /// @brief Serializes with cereal. The extensions come last, as older builds ignore them.
+  /// @brief Serializes with cereal. The later a part was added, the further back it stands, as
+  /// older builds ignore what follows the parts that they know.
   template <class Archive>
   void save(Archive& archive) const {
-    archive(batches, snapshot, make_extensions(*this));
+    const feed_extensions extensions = make_extensions(*this);
+    archive(batches, snapshot, extensions, make_restrictions(extensions));
   }
   /// @brief Deserializes with cereal; a message of an older build has no extensions.
   template <class Archive>
@@ -99,6 +118,10 @@
     archive(batches, snapshot);
     feed_extensions extensions;
     if (load_trailing(archive, extensions)) {
+      feed_restrictions restrictions;
+      if (load_trailing(archive, restrictions)) {
+        put_restrictions(extensions, std::move(restrictions));
+      }
       apply_extensions(*this, extensions);
     }
   }
--- a/include/catkintack/routes/route.hpp
+++ b/include/catkintack/routes/route.hpp
@@ -63,4 +63,7 @@
   }
 };
 
+/// @brief Returns what identifies a route within its table: names are unique only within one host.
+inline std::string place_of(const route& one) { return one.host + one.prefix; }
+
 }  // namespace catkintack::routes
--- a/src/catkintack/control/feed_message.cpp
+++ b/src/catkintack/control/feed_message.cpp
@@ -1,6 +1,7 @@
 #include "catkintack/control/feed_message.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace catkintack::control {
 
@@ -48,4 +49,25 @@
   }
 }
 
+feed_restrictions make_restrictions(const feed_extensions& extensions) {
+  feed_restrictions result;
+  for (const batch_extension& one : extensions.batches) {
+    result.batches.push_back(one.table.restrictions.value_or(feed_restrictions::list()));
+  }
+  if (extensions.snapshot) {
+    result.snapshot = extensions.snapshot->table.restrictions.value_or(feed_restrictions::list());
+  }
+  return result;
+}
+
+void put_restrictions(feed_extensions& extensions, feed_restrictions restrictions) {
+  const std::size_t count = std::min(extensions.batches.size(), restrictions.batches.size());
+  for (std::size_t i = 0; i < count; ++i) {
+    extensions.batches[i].table.restrictions = std::move(restrictions.batches[i]);
+  }
+  if (extensions.snapshot) {
+    extensions.snapshot->table.restrictions = std::move(restrictions.snapshot);
+  }
+}
+
 }  // namespace catkintack::control
--- a/src/catkintack/control/feed_message_test.cpp
+++ b/src/catkintack/control/feed_message_test.cpp
@@ -26,6 +26,23 @@
   }
 };
 
+/// @brief feed_changes as builds know it that have the extensions without the restrictions.
+struct extended_feed_changes {
+  feed_changes changes;
+
+  template <class Archive>
+  void save(Archive& archive) const {
+    archive(changes.batches, changes.snapshot, make_extensions(changes));
+  }
+  template <class Archive>
+  void load(Archive& archive) {
+    archive(changes.batches, changes.snapshot);
+    feed_extensions extensions;
+    archive(extensions);
+    apply_extensions(changes, extensions);
+  }
+};
+
 /// @brief feed_message as builds before the version know it.
 struct old_feed_message {
   std::uint32_t hops = 0;
@@ -132,6 +149,83 @@
   EXPECT_EQ(snapshot.evacuations, sent_snapshot.evacuations);
 }
 
+/// @brief A closed and an open route of one name, each of another host.
+routes::route_table make_table_with_one_name(std::uint64_t version, bool has_open_route) {
+  routes::route_table_builder builder{base::list_version(version)};
+  builder.add(routes::service_profile{.service = base::service_id("press")});
+  builder.add(routes::customer_policy{.id = base::customer_id("acme"), .key_hashes = {"h"}});
+  routes::route route{.name = routes::route_id("r"),
+                      .host = "a.example",
+                      .prefix = "/p/",
+                      .services = {{base::service_id("press"), 1}},
+                      .timeout = std::chrono::seconds(2)};
+  route.allowed_regions = {base::region_id("east")};
+  builder.add(route);
+  if (has_open_route) {
+    route.host = "b.example";
+    route.is_public = true;
+    route.allowed_regions.clear();
+    builder.add(route);
+  }
+  return std::move(builder).build();
+}
+
+void expect_closed_and_open(const routes::route_table& table, bool open_is_public) {
+  const routes::route* const closed = table.match("a.example", "/p/x");
+  const routes::route* const open = table.match("b.example", "/p/x");
+  ASSERT_NE(closed, nullptr);
+  ASSERT_NE(open, nullptr);
+  EXPECT_FALSE(closed->is_public);
+  EXPECT_EQ(closed->allowed_regions, (std::vector{base::region_id("east")}));
+  EXPECT_EQ(open->is_public, open_is_public);
+}
+
+feed_changes make_changes_with_one_name() {
+  feed_changes sent;
+  sent.batches = {{.revision = {.number = 3}, .table = make_table_with_one_name(1, true)}};
+  sent.snapshot =
+      registry_snapshot{.revision = {.number = 6}, .table = make_table_with_one_name(2, true)};
+  return sent;
+}
+
+// Guards against a public route that makes a route of the same name on another host public.
+TEST(feed_message, restrictions_belong_to_one_route_of_several_with_the_same_name) {
+  const auto received = transfer<feed_changes>(make_changes_with_one_name());
+  expect_closed_and_open(require(received.batches.at(0).table), true);
+  expect_closed_and_open(require(require(received.snapshot).table), true);
+  EXPECT_TRUE(require(require(received.snapshot).table)
+                  .match("b.example", "/p/x")
+                  ->allowed_regions.empty());
+}
+
+TEST(feed_message, table_that_repeats_a_name_has_no_difference) {
+  EXPECT_FALSE(routes::find_difference(make_table_with_one_name(1, false),
+                                       make_table_with_one_name(2, true)));
+}
+
+// Guards against the same between two builds: where it is not clear which route is public, none is.
+TEST(feed_message, older_build_opens_no_route_whose_name_is_repeated) {
+  const auto older = transfer<extended_feed_changes>(make_changes_with_one_name());
+  expect_closed_and_open(require(older.changes.batches.at(0).table), false);
+  feed_changes sent = make_changes_with_one_name();
+  feed_extensions extensions = make_extensions(sent);
+  extensions.batches.at(0).table.restrictions.reset();
+  const auto by_name = [](bool is_public, std::vector<base::region_id> regions) {
+    return routes::route_extension{routes::route_id("r"), is_public, std::move(regions)};
+  };
+  extensions.batches.at(0).table.routes = {by_name(false, {base::region_id("east")}),
+                                           by_name(true, {})};
+  sent.batches.at(0).table = make_table_with_one_name(1, true);
+  apply_extensions(sent, extensions);
+  expect_closed_and_open(require(sent.batches.at(0).table), false);
+}
+
+TEST(feed_message, restriction_of_a_route_that_is_not_there_is_malformed) {
+  const routes::table_extension extension{.restrictions = {{{.position = 2, .is_public = true}}}};
+  routes::route_table table = make_table_with_one_name(1, true);
+  EXPECT_THROW(routes::extend(table, extension), std::out_of_range);
+}
+
 // Guards against hosts of two builds that lose their feed while hosts are replaced one by one.
 TEST(feed_message, message_of_an_older_build_is_decoded) {
   const feed_changes changes = make_changes();
--- a/src/catkintack/routes/table_extension.cpp
+++ b/src/catkintack/routes/table_extension.cpp
@@ -1,5 +1,7 @@
 #include "catkintack/routes/table_extension.hpp"
 
+#include <algorithm>
+#include <iterator>
 #include <map>
 #include <utility>
 
@@ -8,14 +10,58 @@
 namespace catkintack::routes {
 namespace {
 
+std::map<route_id, int> count_names(const std::vector<route>& routes) {
+  std::map<route_id, int> result;
+  for (const route& one : routes) {
+    ++result[one.name];
+  }
+  return result;
+}
+
+/// @brief Regions that both lists allow. An empty list allows all.
+std::vector<base::region_id> intersect(const std::vector<base::region_id>& one,
+                                       const std::vector<base::region_id>& other) {
+  if (one.empty() || other.empty()) {
+    return one.empty() ? other : one;
+  }
+  std::vector<base::region_id> result;
+  std::ranges::set_intersection(one, other, std::back_inserter(result));
+  if (result.empty()) {
+    result.emplace_back("none");  // An empty list would allow all.
+  }
+  return result;
+}
+
+using extensions_by_name = std::map<route_id, route_extension>;
+
+/// @brief Combines restrictions that are known by name only. Where it is not clear which route of a
+/// name they belong to, all get the strictest.
+void combine(extensions_by_name& known, route_extension added, bool is_unique) {
+  added.is_public = added.is_public && is_unique;
+  const auto [found, inserted] = known.try_emplace(added.name, added);
+  if (!inserted) {
+    found->second.is_public = false;
+    found->second.allowed_regions = intersect(found->second.allowed_regions, added.allowed_regions);
+  }
+}
+
 table_extension describe(const std::vector<route>& routes,
                          const std::vector<service_profile>& profiles) {
   table_extension result;
-  for (const route& one : routes) {
+  result.restrictions.emplace();
+  const std::map<route_id, int> counts = count_names(routes);
+  extensions_by_name by_name;
+  for (std::size_t i = 0; i < routes.size(); ++i) {
+    const route& one = routes[i];
     if (one.is_public || !one.allowed_regions.empty()) {
-      result.routes.push_back({one.name, one.is_public, one.allowed_regions});
+      combine(by_name, {one.name, one.is_public, one.allowed_regions}, counts.at(one.name) == 1);
+      result.restrictions->push_back(
+          {static_cast<std::uint32_t>(i), one.is_public, one.allowed_regions});
     }
   }
+  for (auto& [name, one] : by_name) {
+    result.routes.push_back(std::move(one));
+  }
   for (const service_profile& one : profiles) {
     if (one.warm_up_rate > 0) {
       result.services.push_back({one.service, one.warm_up_rate});
@@ -25,14 +71,23 @@
 }
 
 void complete(std::vector<route>& routes, const table_extension& extension) {
-  std::map<route_id, const route_extension*> by_name;
+  if (extension.restrictions) {
+    for (const route_restriction& one : *extension.restrictions) {
+      route& restricted = routes.at(one.position);
+      restricted.is_public = one.is_public;
+      restricted.allowed_regions = one.allowed_regions;
+    }
+    return;
+  }
+  const std::map<route_id, int> counts = count_names(routes);
+  extensions_by_name by_name;
   for (const route_extension& one : extension.routes) {
-    by_name[one.name] = &one;
+    combine(by_name, one, true);
   }
   for (route& one : routes) {
     if (const auto found = by_name.find(one.name); found != by_name.end()) {
-      one.is_public = found->second->is_public;
-      one.allowed_regions = found->second->allowed_regions;
+      one.is_public = found->second.is_public && counts.at(one.name) == 1;
+      one.allowed_regions = found->second.allowed_regions;
     }
   }
 }
--- a/src/catkintack/serving/call_attempts.cpp
+++ b/src/catkintack/serving/call_attempts.cpp
@@ -40,7 +40,8 @@
       state.outlier_detector.on_success(selection.upstream);
       if (!attempt.body_parser) {
         on_request_answered(state, served.fingerprint);
-        state.route_statistics.on_response(served.route->name.value(), elapsed, selection.reading,
+        state.route_statistics.on_response(routes::place_of(*served.route), elapsed,
+                                           selection.reading,
                                            attempt.sent_bytes + attempt.body.size());
       }
       return;
--- a/src/catkintack/serving/caller_session.cpp
+++ b/src/catkintack/serving/caller_session.cpp
@@ -107,7 +107,7 @@
   admitted.deadline = admitted.arrived + std::min(allowed, admitted.route->timeout);
   if (time_left) {
     admitted.elapsed_before_arrival =
-        state.route_statistics.on_deadline(admitted.route->name.value(), allowed);
+        state.route_statistics.on_deadline(routes::place_of(*admitted.route), allowed);
   }
   admitted.has_body = parser.chunked() || head.count(http::field::content_length) > 0;
   if (const auto length = parser.content_length()) {
--- a/src/catkintack/serving/stop_check.cpp
+++ b/src/catkintack/serving/stop_check.cpp
@@ -28,7 +28,7 @@
       served.route->latency_objective / state.options.unknown_work_divisor;
   return ends_before_stop(
       state, served,
-      state.route_statistics.service_time(served.route->name.value(), unknown).typical);
+      state.route_statistics.service_time(routes::place_of(*served.route), unknown).typical);
 }
 
 }  // namespace catkintack::serving
--- a/src/catkintack/serving/upstream_selection.cpp
+++ b/src/catkintack/serving/upstream_selection.cpp
@@ -167,7 +167,7 @@
                                                   const call& served,
                                                   const base::service_id& service,
                                                   base::instant started_at) {
-  const std::string& route = served.route->name.value();
+  const std::string route = routes::place_of(*served.route);
   const base::instant now = state.clock();
   choice::call_requirements need;
   need.service_time = state.route_statistics.service_time(
@@ -296,7 +296,8 @@
       state_.metrics.add("sends_without_allowed_upstream_in_own_region_total");
     } else if (chosen->distance == upstream_distance::other_region) {
       state_.remote_bytes.spend(
-          state_.route_statistics.exchanged_bytes(served_.route->name.value()), state_.clock());
+          state_.route_statistics.exchanged_bytes(routes::place_of(*served_.route)),
+          state_.clock());
     }
     result.connection = round_->take_connection(result.upstream);
     round_->finish();
