Learn the authorities for caps before the configuration arrives

What callers saw: after a restart of all hosts at the same time, calls of capped customers were refused with 503 "no authority" for up to 0.4 s after a host had its configuration.

Cause: the registry was read, and seeds were asked, only once the configuration named customers; a query that came before the seed knew the authorities got no answer and was repeated after 250 ms.

Change: seeds read the entry when they start, hosts ask from their start on, and a seed answers queries as soon as it knows the authorities.

The tests quota_keeper.authorities_are_known_before_the_configuration and quota_exchange.query_is_answered_when_the_authorities_become_known fail without the change.

--- a/include/catkintack/control/quota_exchange.hpp
+++ b/include/catkintack/control/quota_exchange.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,7 +28,7 @@
   base::address self{};  ///< UDP address of this host.
   limits::quota_bounds bounds{};
   /// Pause between queries of the seeds while no authorities are known.
-  base::duration first_query_interval = std::chrono::milliseconds(250);
+  base::duration first_query_interval = std::chrono::milliseconds(100);
   /// The same while a known authority is unreachable.
   base::duration query_interval = std::chrono::seconds(1);
 };
@@ -99,6 +100,7 @@
   std::uint32_t recorded_hosts_ = 0;  ///< Of the newest record.
   std::vector<base::address> seeds_;
   base::instant queried_at_ = base::instant::min();
+  std::set<base::address> askers_;  ///< Hosts whose queries could not be answered yet.
   boost::asio::steady_timer timer_;
   /// Timers of the calls that wait for a token.
   std::multimap<base::customer_id, boost::asio::steady_timer*> waiting_;
--- a/include/catkintack/control/quota_keeper.hpp
+++ b/include/catkintack/control/quota_keeper.hpp
@@ -65,6 +65,7 @@
  private:
   std::optional<limits::quota_authorities> appointment(
       const limits::quota_authorities& current) const;
+  bool has_customers() const;
   bool is_seed() const;
   bool must_read() const;
   bool is_count_due();
--- a/src/catkintack/control/quota_exchange.cpp
+++ b/src/catkintack/control/quota_exchange.cpp
@@ -147,6 +147,9 @@
   state_.log.write("quota_authorities_changed",
                    {{"epoch", authorities_.epoch}, {"holders", names}});
   start_or_end_slot(former.epoch > 0, record.host_count);
+  for (const base::address& asker : std::exchange(askers_, {})) {
+    send_authorities(asker);
+  }
   std::vector<base::customer_id> waiting;
   for (const auto& [customer, timer] : waiting_) {
     if (waiting.empty() || waiting.back() != customer) {
@@ -216,8 +219,13 @@
     return;
   }
   const limits::quota_authorities received{message.epoch, message.holders};
+  constexpr std::size_t max_askers = 1024;
   if (received < authorities_) {
     send_authorities(sender);
+  } else if (received.epoch == 0) {
+    if (askers_.size() < max_askers) {
+      askers_.insert(sender);
+    }
   } else {
     adopt({.authorities = received, .host_count = std::max(message.host_count, recorded_hosts_)});
   }
@@ -422,10 +430,10 @@
 }
 
 void quota_exchange::maintain() {
+  query_seeds();
   if (!state_.table || !state_.table->has_customers()) {
     return;
   }
-  query_seeds();
   const base::instant now = state_.clock();
   for (const std::size_t authority : client_.heartbeats_due(now)) {
     send_to_authority({.asked_at_us = now.time_since_epoch().count()}, authority);
--- a/src/catkintack/control/quota_exchange_test.cpp
+++ b/src/catkintack/control/quota_exchange_test.cpp
@@ -136,6 +136,19 @@
   EXPECT_TRUE(fresh.decisions[0].admitted);
 }
 
+TEST(quota_exchange, query_is_answered_when_the_authorities_become_known) {
+  quota_fleet fleet;
+  quota_host seed(fleet.io, free_udp_address());
+  quota_host fresh(fleet.io, free_udp_address());
+  fresh.exchange.set_seeds({seed.exchange.self()});
+  fresh.exchange.maintain();
+  for (int i = 0; i < 20; ++i) {
+    fleet.io.poll();
+  }
+  seed.exchange.adopt({.authorities = {.epoch = 1, .holders = {fleet.where}}});
+  EXPECT_TRUE(fleet.run_until([&] { return fresh.exchange.authorities().epoch == 1; }));
+}
+
 TEST(quota_exchange, older_authorities_are_ignored) {
   quota_fleet fleet;
   fleet.other.exchange.adopt(
--- a/src/catkintack/control/quota_keeper.cpp
+++ b/src/catkintack/control/quota_keeper.cpp
@@ -78,7 +78,13 @@
   return std::ranges::find(candidates, exchange_.self()) != candidates.end();
 }
 
+bool quota_keeper::has_customers() const { return state_.table && state_.table->has_customers(); }
+
 bool quota_keeper::must_read() const {
+  if (!has_customers()) {
+    // Reads ahead, so that no call has to wait for it once the configuration is there.
+    return exchange_.authorities().epoch == 0 && is_seed() && !known_;
+  }
   if (exchange_.authorities().epoch == 0) {
     return is_seed() || state_.clock() - *wanted_since_ >= options_.patience;
   }
@@ -140,9 +146,6 @@
 
 asio::awaitable<bool> quota_keeper::check() {
   const base::instant now = state_.clock();
-  if (!state_.table || !state_.table->has_customers()) {
-    co_return true;
-  }
   if (exchange_.authorities().epoch > 0) {
     wanted_since_.reset();
   } else if (!wanted_since_) {
@@ -155,6 +158,9 @@
   if (!co_await read()) {
     co_return false;
   }
+  if (!has_customers()) {
+    co_return true;
+  }
   quota_record record = *known_;
   // The entry of a store that was restored may be older than what the hosts know.
   record.authorities = std::max(record.authorities, exchange_.authorities());
--- a/src/catkintack/control/quota_keeper_test.cpp
+++ b/src/catkintack/control/quota_keeper_test.cpp
@@ -250,6 +250,34 @@
   EXPECT_EQ(fleet.registry.reads + fleet.registry.writes, calls);
 }
 
+// Guards against refusals after all hosts restarted: the authorities are known when the
+// configuration arrives, also to hosts that asked before a seed knew them.
+TEST(quota_keeper, authorities_are_known_before_the_configuration) {
+  kept_fleet fleet;
+  fleet.start();
+  fleet.start();
+  fleet.registry.entry = {
+      .authorities = {.epoch = 5, .holders = {fleet.address(0)}}, .host_count = 2, .revision = 10};
+  for (const auto& one : fleet.hosts) {
+    one->host.state.table = nullptr;
+  }
+  fleet.set_seeds({0, 1}, {fleet.address(0)});
+  fleet.run(milliseconds(100));
+  EXPECT_EQ(fleet.authorities(0).epoch, 5U);
+  EXPECT_EQ(fleet.authorities(1).epoch, 5U);
+  EXPECT_EQ(fleet.registry.reads, 1);
+}
+
+TEST(quota_keeper, deployment_without_customers_gets_no_authorities) {
+  kept_fleet fleet;
+  fleet.start();
+  fleet.hosts[0]->host.set_customers({});
+  fleet.set_seeds({0}, {fleet.address(0)});
+  fleet.run(seconds(5));
+  EXPECT_EQ(fleet.registry.reads, 1);
+  EXPECT_EQ(fleet.registry.writes, 0);
+}
+
 TEST(quota_keeper, entry_of_a_restored_store_does_not_bring_back_former_authorities) {
   kept_fleet fleet;
   fleet.start();
