Take no answer without a length for complete after a failed write

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got the part as a complete answer.

Cause: the write of the upload reports the reset. The exchange goes on to read, as an upstream may answer before it has read a body; the kernel reports a reset once, so that the read finds the received bytes and an ordinary end of the stream, which ends an answer without a length.

Ruled out: a reset that meets the read, which returns an error (early_answer.one_without_length_that_is_reset_after_the_request_is_not_complete passes on the code before).

Change: after a failed write, an answer that would end with its connection is incomplete. Answers with a length or in chunks are forwarded as before.

Evidence: early_answer.one_without_length_that_ends_with_a_reset_is_not_complete fails on (the caller gets 200) and passes with the change.

--- a/src/catkintack/serving/exchange.cpp
+++ b/src/catkintack/serving/exchange.cpp
@@ -243,6 +243,13 @@
     sent.active_connections.erase(&upstream);
     co_return failed_exchange(std::move(result), sent, read_error, "answer head");
   }
+  if (send_error && parser->need_eof()) {
+    // The write has taken a possible reset off the socket, so that the end of the stream looks the
+    // same after a part of the answer as after the whole.
+    sent.active_connections.erase(&upstream);
+    co_return failed_exchange(std::move(result), sent, http::error::partial_message,
+                              "answer without a length after a failed send");
+  }
   sent.response_started = true;
   const error_code body_error = co_await read_body(upstream.stream, upstream.buffer, *parser,
                                                    result.body, max_buffered_response);
