Check the heads of answers before they are parsed

What callers saw: answers that are none in the protocol were forwarded: statuses from 600 on, folded lines, answers after a status 000, and bodies in a transfer coding that nobody had decoded.

Cause: the parser accepts what the protocol allows a lenient recipient to accept, and nothing else looked at the head.

Ruled out: blanks and control bytes inside a field name, which the parser refuses (malformed_answer.*, passed before).

Change: the bytes of a head are checked against RFC 9112 before they are parsed, in each place that reads an HTTP answer: exchanges, and with them retries and relays, probes, the clients of the store, of catkintackd's upstreams.

--- a/include/catkintack/net/http_connection.hpp
+++ b/include/catkintack/net/http_connection.hpp
@@ -84,6 +84,8 @@
   http_exchange_status send(const std::string& bytes, const http_limits& limits);
   http_exchange_status wait(short events, const http_limits& limits);
   http_exchange_status read_more(const http_limits& limits);
+  /// Reads until the buffer holds a complete head, and checks it.
+  http_exchange_status read_head(const http_limits& limits);
   http_exchange_status read_response(bool has_body,
                                      const http_limits& limits,
                                      http_response& response);
--- a/include/catkintack/serving/io.hpp
+++ b/include/catkintack/serving/io.hpp
@@ -58,4 +58,11 @@
   co_return error_code{};
 }
 
+/// @brief Reads the head of a response, and checks it before it is parsed.
+/// @param buffer Bytes that have been read ahead from the stream.
+/// @return The error that interrupted it, or that says why it is malformed.
+asio::awaitable<error_code> read_response_head(beast::tcp_stream& stream,
+                                               beast::flat_buffer& buffer,
+                                               response_parser& parser);
+
 }  // namespace catkintack::serving
--- a/include/catkintack/serving/probe_round.hpp
+++ b/include/catkintack/serving/probe_round.hpp
@@ -65,7 +65,7 @@
                                    const std::string& health_path,
                                    base::duration limit,
                                    choice::candidate& target);
-  void record_response(const response_parser& parser, choice::candidate& target);
+  void record_response(const http::fields& fields, unsigned code, choice::candidate& target);
   bool has_good_candidate() const;
 
   traffic_state& state_;
--- a/src/catkintack/net/http_connection.cpp
+++ b/src/catkintack/net/http_connection.cpp
@@ -12,7 +12,9 @@
 #include <boost/beast/http/string_body.hpp>
 #include <cctype>
 #include <cerrno>
+#include <string_view>
 
+#include "catkintack/base/http_head.hpp"
 #include "catkintack/net/socket_address.hpp"
 
 namespace catkintack::net {
@@ -22,7 +24,8 @@
 
 constexpr std::uint32_t max_head_bytes = 64U << 10U;
 constexpr std::size_t read_chunk_bytes = 64U << 10U;
-constexpr int status_switching_protocols = 101;
+constexpr std::size_t max_unparsed_bytes = 64U << 10U;
+constexpr int max_informational_responses = 8;
 constexpr int first_final_status = 200;
 
 bool equals_ignoring_case(const std::string& left, const std::string& right) {
@@ -31,12 +34,11 @@
       [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
 }
 
-void copy_fields(http::response<http::string_body> message, http_response& response) {
+void copy_head(const http::response<http::string_body>& message, http_response& response) {
   response.status = static_cast<int>(message.result_int());
   for (const auto& field : message) {
     response.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
   }
-  response.body = std::move(message.body());
 }
 
 int wait_for(int descriptor, short events, base::duration left) {
@@ -94,15 +96,18 @@
   if (status != http_exchange_status::complete) {
     return status;
   }
-  do {
+  for (int informational = 0; informational <= max_informational_responses; ++informational) {
     response = {};
     status = read_response(has_body, limits, response);
-    if (status != http_exchange_status::complete || response.status == status_switching_protocols) {
-      return status == http_exchange_status::complete ? http_exchange_status::broken : status;
+    if (status != http_exchange_status::complete) {
+      return status;
     }
-  } while (response.status < first_final_status);
-  response.reusable = response.reusable && is_idle();
-  return http_exchange_status::complete;
+    if (response.status >= first_final_status) {
+      response.reusable = response.reusable && is_idle();
+      return http_exchange_status::complete;
+    }
+  }
+  return http_exchange_status::broken;
 }
 
 http_exchange_status http_connection::send(const std::string& bytes, const http_limits& limits) {
@@ -159,16 +164,49 @@
   return count > 0 || again ? http_exchange_status::complete : http_exchange_status::broken;
 }
 
+http_exchange_status http_connection::read_head(const http_limits& limits) {
+  constexpr std::string_view head_end = "\r\n\r\n";
+  std::size_t searched = 0;
+  for (;;) {
+    const std::size_t end = buffer_.find(head_end, searched);
+    if (end != std::string::npos) {
+      const std::string_view head = std::string_view(buffer_).substr(0, end + head_end.size());
+      return base::check_response_head(head) == base::http_head_fault::none
+                 ? http_exchange_status::complete
+                 : http_exchange_status::broken;
+    }
+    if (buffer_.size() >= max_head_bytes) {
+      return http_exchange_status::broken;
+    }
+    searched = buffer_.size() < head_end.size() ? 0 : buffer_.size() - head_end.size() + 1;
+    const http_exchange_status more = read_more(limits);
+    if (more != http_exchange_status::complete) {
+      return more;
+    }
+  }
+}
+
 http_exchange_status http_connection::read_response(bool has_body,
                                                     const http_limits& limits,
                                                     http_response& response) {
+  const http_exchange_status head = read_head(limits);
+  if (head != http_exchange_status::complete) {
+    return head;
+  }
   http::response_parser<http::string_body> parser;
   parser.header_limit(max_head_bytes);
   parser.body_limit(limits.max_body_bytes);
   parser.skip(!has_body);
+  boost::system::error_code error;
+  buffer_.erase(0, parser.put(boost::asio::buffer(buffer_), error));
+  if (error || !parser.is_header_done()) {
+    return http_exchange_status::broken;
+  }
+  // Copied before the body is read: the parser adds trailers to the headers.
+  copy_head(parser.get(), response);
   parser.eager(true);
   while (!parser.is_done()) {
-    boost::system::error_code error;
+    error = {};
     const std::size_t used = buffer_.empty() ? 0 : parser.put(boost::asio::buffer(buffer_), error);
     buffer_.erase(0, used);
     // Without a declared length, a closed connection would look like the end of the response.
@@ -176,6 +214,10 @@
       return http_exchange_status::broken;
     }
     if (!parser.is_done() && (error || used == 0)) {
+      // Bytes that the parser cannot use yet, such as a chunk extension, are limited too.
+      if (buffer_.size() > max_unparsed_bytes) {
+        return http_exchange_status::broken;
+      }
       const http_exchange_status more = read_more(limits);
       if (more != http_exchange_status::complete) {
         return more;
@@ -183,7 +225,7 @@
     }
   }
   response.reusable = parser.keep_alive();
-  copy_fields(parser.release(), response);
+  response.body = std::move(parser.get().body());
   return http_exchange_status::complete;
 }
 
--- a/src/catkintack/serving/exchange.cpp
+++ b/src/catkintack/serving/exchange.cpp
@@ -1,5 +1,6 @@
 #include "catkintack/serving/exchange.hpp"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <charconv>
 #include <utility>
@@ -76,8 +77,9 @@
 }
 
 bool is_stray(const response_parser& parser, const call& sent, const upstream_protocol& protocol) {
-  const auto found = parser.get().find(protocol.request_id);
-  return found != parser.get().end() && to_string_view(found->value()) != sent.id;
+  const auto [first, last] = parser.get().equal_range(protocol.request_id);
+  return std::any_of(first, last,
+                     [&](const auto& field) { return to_string_view(field.value()) != sent.id; });
 }
 
 /// @brief Reads response heads until one belongs to the call; discards responses to earlier calls.
@@ -92,9 +94,8 @@
     auto parser = std::make_unique<response_parser>();
     parser->body_limit(boost::none);
     parser->skip(sent.method == "HEAD");
-    auto [error, count] =
-        co_await http::async_read_header(connection.stream, connection.buffer, *parser, no_throw);
-    if (error) {
+    if (const error_code error =
+            co_await read_response_head(connection.stream, connection.buffer, *parser)) {
       co_return std::pair{nullptr, error};
     }
     if (parser->get().result_int() < status::ok) {
@@ -251,6 +252,8 @@
                               "answer without a length after a failed send");
   }
   sent.response_started = true;
+  // Copied before the body is read: the parser adds trailers to the headers.
+  http::fields fields = parser->get().base();
   const error_code body_error = co_await read_body(upstream.stream, upstream.buffer, *parser,
                                                    result.body, max_buffered_response);
   sent.active_connections.erase(&upstream);
@@ -259,7 +262,7 @@
   }
   result.status = parser->get().result_int();
   result.reason = std::string(to_string_view(parser->get().reason()));
-  result.headers = parser->get().base();
+  result.headers = std::move(fields);
   upstream.idle_timeout = announced_idle_timeout(result.headers);
   if (result.status == status::misdirected) {
     // Another upstream answered at this address; what it says is not about the expected one.
--- a/src/catkintack/serving/probe_round.cpp
+++ b/src/catkintack/serving/probe_round.cpp
@@ -102,14 +102,16 @@
   co_return co_await open_connection(state_, executor_, endpoint->listed.record.where, id, limit);
 }
 
-void probe_round::record_response(const response_parser& parser, choice::candidate& target) {
-  const auto load = parser.get()[state_.options.protocol.load];
+void probe_round::record_response(const http::fields& fields,
+                                  unsigned code,
+                                  choice::candidate& target) {
+  const auto load = fields[state_.options.protocol.load];
   target.probe = state_.options.protocol.read_load(to_string_view(load));
   const auto* const endpoint = state_.upstreams.find(target.id);
   if (endpoint != nullptr && target.probe) {
     state_.service_statistics.on_probe(endpoint->listed.record.service, *target.probe);
   } else if (endpoint != nullptr) {
-    if (parser.get().result_int() == status::ok) {
+    if (code == status::ok) {
       state_.probes_without_load[endpoint->listed.record.service] = true;
     }
     target.probe = choice::probe_result{.running = state_.in_flight.count(target.id),
@@ -119,7 +121,7 @@
   }
   // The upstream's own health status may be wrong in both directions, so a failed one only lowers
   // its rank.
-  target.outlier = target.outlier || parser.get().result_int() != status::ok;
+  target.outlier = target.outlier || code != status::ok;
 }
 
 asio::awaitable<bool> probe_round::send_probe(upstream_connection& connection,
@@ -142,35 +144,35 @@
     co_return false;
   }
   response_parser parser;
-  auto [read_error, count] =
-      co_await http::async_read_header(connection.stream, connection.buffer, parser, no_throw);
-  if (read_error) {
+  if (co_await read_response_head(connection.stream, connection.buffer, parser)) {
     co_return false;
   }
+  // Copied before the body is read: the parser adds trailers to the headers.
+  const http::fields fields = parser.get().base();
+  const unsigned code = parser.get().result_int();
   constexpr std::size_t max_body = 64U << 10U;
   std::string body;
   if (co_await read_body(connection.stream, connection.buffer, parser, body, max_body)) {
     co_return false;
   }
   const upstream_protocol& names = state_.options.protocol;
-  const auto named = parser.get()[names.upstream];
+  const auto named = fields[names.upstream];
   const bool from_target = to_string_view(named) == target.id.value();
   // A response with a request id is a late response to an earlier call, not to the probe.
-  if (!from_target || parser.get().count(names.request_id) > 0 || !parser.is_done()) {
+  // After an informational response, the one to the probe is still to come.
+  if (!from_target || fields.count(names.request_id) > 0 || !parser.is_done() ||
+      code < status::ok) {
     connection.close();
     co_return false;
   }
-  const auto& head = parser.get();
-  apply_notice(state_, target.id, read_notice(head.result_int(), head.base(), names),
-               notice_source::probe);
+  apply_notice(state_, target.id, read_notice(code, fields, names), notice_source::probe);
   if (!state_.accepts_requests(target.id)) {
     connection.close();
     co_return false;
   }
-  record_response(parser, target);
+  record_response(fields, code, target);
   // A copy of a refused probe could be taken for the refusal of a later call.
-  const bool refused =
-      parser.get().count(names.not_run) > 0 || parser.get().result_int() == status::misdirected;
+  const bool refused = fields.count(names.not_run) > 0 || code == status::misdirected;
   if (!parser.keep_alive() || refused) {
     connection.close();
   }
