Limit answers of the store and messages between hosts

What operators of similar systems saw: a faulty server sent bytes without end, the caller kept them all and ran out of memory, and other calls of the host ended with it.

Cause: limits were set per client. The clients of catkintackd for its store and its host list limited neither head nor body, and each read had a time limit of its own. Messages between hosts allocated what a length in them announces before the bytes were there.

Ruled out: answers of upstreams at catkintackd-platform; endless_bytes.* passed before.

Change: net::fetch, on http_connection, replaces these clients: one deadline for the exchange, limits for head, body and unparsed bytes. Messages between hosts are decoded without trusting lengths, and frames grow with what arrives.

--- a/include/catkintack/control/message_channel.hpp
+++ b/include/catkintack/control/message_channel.hpp
@@ -10,6 +10,7 @@
 #include <sstream>
 #include <string>
 
+#include "catkintack/control/bounded_archive.hpp"
 #include "catkintack/serving/io.hpp"
 
 namespace catkintack::control {
@@ -44,8 +45,7 @@
 template <class Message>
 std::optional<Message> decode(const std::string& bytes) {
   try {
-    std::istringstream in(bytes);
-    cereal::PortableBinaryInputArchive archive(in);
+    bounded_input_archive archive(bytes);
     Message message;
     archive(message);
     return message;
--- a/src/catkintack/cli/admin_client.cpp
+++ b/src/catkintack/cli/admin_client.cpp
@@ -1,12 +1,11 @@
 #include "catkintack/cli/admin_client.hpp"
 
-#include <httplib.h>
-
 #include <nlohmann/json.hpp>
 #include <ostream>
 #include <utility>
 
 #include "catkintack/net/host_list.hpp"
+#include "catkintack/net/http_fetch.hpp"
 
 namespace catkintack::cli {
 namespace {
@@ -23,15 +22,11 @@
 }
 
 std::optional<std::string> get(const base::address& where, const std::string& path) {
-  httplib::Client client(where.ip, where.port);
-  client.set_connection_timeout(1);
-  client.set_read_timeout(1);
-  client.set_tcp_nodelay(true);
-  const auto answer = client.Get(path);
-  if (!answer || answer->status != status_ok) {
+  net::fetch_result answer = net::fetch({.where = where, .target = path});
+  if (answer.status != net::http_exchange_status::complete || answer.response.status != status_ok) {
     return std::nullopt;
   }
-  return answer->body;
+  return std::move(answer.response.body);
 }
 
 host_report fetch_host_report(const membership::gateway_record& host) {
--- a/src/catkintack/cli/timeline.cpp
+++ b/src/catkintack/cli/timeline.cpp
@@ -1,7 +1,5 @@
 #include "catkintack/cli/timeline.hpp"
 
-#include <httplib.h>
-
 #include <algorithm>
 #include <fstream>
 #include <map>
@@ -15,6 +13,7 @@
 #include "catkintack/cli/timeline_svg.hpp"
 #include "catkintack/daemon/event_json.hpp"
 #include "catkintack/net/host_list.hpp"
+#include "catkintack/net/http_fetch.hpp"
 
 namespace catkintack::cli {
 namespace {
@@ -23,7 +22,7 @@
 
 constexpr base::duration host_list_timeout = std::chrono::seconds(2);
 constexpr base::duration follow_interval = std::chrono::milliseconds(500);
-constexpr time_t host_timeout_seconds = 1;
+constexpr base::duration host_timeout = std::chrono::seconds(1);
 
 /// Position after the last event read from a host.
 struct read_position {
@@ -46,16 +45,17 @@
 std::vector<base::event_record> fetch_events(const membership::gateway_record& host,
                                              base::incarnation run,
                                              std::uint64_t since) {
-  httplib::Client client(host.admin.ip, host.admin.port);
-  client.set_connection_timeout(host_timeout_seconds);
-  client.set_read_timeout(host_timeout_seconds);
-  const auto answer = client.Get("/events?since=" + std::to_string(since) +
-                                 "&incarnation=" + std::to_string(run.value()));
-  if (!answer) {
+  const net::fetch_result answer =
+      net::fetch({.where = host.admin,
+                  .target = "/events?since=" + std::to_string(since) +
+                            "&incarnation=" + std::to_string(run.value()),
+                  .connect_timeout = host_timeout,
+                  .timeout = host_timeout});
+  if (answer.status != net::http_exchange_status::complete) {
     return {};
   }
   try {
-    return parse_events(answer->body);
+    return parse_events(answer.response.body);
   } catch (const nlohmann::json::exception&) {
     return {};
   }
--- a/src/catkintack/control/message_channel.cpp
+++ b/src/catkintack/control/message_channel.cpp
@@ -1,5 +1,6 @@
 #include "catkintack/control/message_channel.hpp"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -13,6 +14,7 @@
 using serving::no_throw;
 
 constexpr std::size_t length_bytes = 4;
+constexpr std::size_t piece_bytes = 64U << 10U;
 
 }  // namespace
 
@@ -43,11 +45,17 @@
     result.second = asio::error::message_size;
     co_return result;
   }
-  std::string body(length, '\0');
-  auto [body_error, body_count] = co_await asio::async_read(stream, asio::buffer(body), no_throw);
-  if (body_error) {
-    result.second = body_error;
-    co_return result;
+  // Grows with the bytes that arrive, not with the length that the other side announces.
+  std::string body;
+  while (body.size() < length) {
+    const std::size_t before = body.size();
+    body.resize(std::min(length, before + piece_bytes));
+    auto [body_error, body_count] = co_await asio::async_read(
+        stream, asio::buffer(body.data() + before, body.size() - before), no_throw);
+    if (body_error) {
+      result.second = body_error;
+      co_return result;
+    }
   }
   result.first = std::move(body);
   co_return result;
--- a/src/catkintack/net/host_list.cpp
+++ b/src/catkintack/net/host_list.cpp
@@ -1,11 +1,10 @@
 #include "catkintack/net/host_list.hpp"
 
-#include <httplib.h>
-
 #include <limits>
 #include <nlohmann/json.hpp>
 
 #include "catkintack/config/parse_json.hpp"
+#include "catkintack/net/http_fetch.hpp"
 
 namespace catkintack::net {
 namespace {
@@ -114,18 +113,14 @@
 
 leaf::result<std::string> fetch_host_list_text(const base::address& address,
                                                base::duration timeout) {
-  httplib::Client client(address.ip, address.port);
-  client.set_tcp_nodelay(true);
-  const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(timeout);
-  client.set_connection_timeout(seconds.count());
-  client.set_read_timeout(timeout);
-  const auto answer = client.Get("/v1/hosts");
-  if (!answer || answer->status != status_ok) {
+  const fetch_result answer = fetch(
+      {.where = address, .target = "/v1/hosts", .connect_timeout = timeout, .timeout = timeout});
+  if (answer.status != http_exchange_status::complete || answer.response.status != status_ok) {
     return leaf::new_error(net_error{
         net_error_kind::unreachable,
         "host list server " + base::to_string(address) + " did not answer with status 200"});
   }
-  return answer->body;
+  return answer.response.body;
 }
 
 leaf::result<host_list> fetch_host_list(const base::address& address, base::duration timeout) {
--- a/src/catkintack/net/http_store.cpp
+++ b/src/catkintack/net/http_store.cpp
@@ -1,9 +1,9 @@
 #include "catkintack/net/http_store.hpp"
 
-#include <httplib.h>
-
 #include <charconv>
 
+#include "catkintack/net/http_fetch.hpp"
+
 namespace catkintack::net {
 namespace {
 
@@ -29,82 +29,83 @@
   explicit http_store(const http_store_options& options) : options_(options) {}
 
   leaf::result<stored_value> read(const std::string& key) override {
-    httplib::Client client = make_client(options_.timeout);
-    const auto answer = client.Get("/v1/kv/" + key);
-    if (!answer) {
-      return unavailable(httplib::to_string(answer.error()));
+    const fetch_result answer = call({.target = "/v1/kv/" + key});
+    if (answer.status != http_exchange_status::complete) {
+      return unavailable(to_text(answer.status));
     }
-    if (answer->status == status_not_found) {
+    if (answer.response.status == status_not_found) {
       return stored_value{};
     }
-    return value_of(*answer);
+    return value_of(answer.response);
   }
 
   leaf::result<swap_result> compare_and_swap(const std::string& key,
                                              std::uint64_t expected_revision,
                                              const std::string& value) override {
-    httplib::Client client = make_client(options_.timeout);
-    const std::string path = "/v1/kv/" + key + "?revision=" + std::to_string(expected_revision);
-    const auto answer = client.Put(path, value, "application/json");
-    if (!answer) {
-      return write_failed(key, answer.error());
+    const fetch_result answer =
+        call({.method = "PUT",
+              .target = "/v1/kv/" + key + "?revision=" + std::to_string(expected_revision),
+              .content_type = "application/json",
+              .body = value});
+    if (answer.status != http_exchange_status::complete) {
+      return write_failed(key, answer.status);
     }
-    if (answer->status == status_ok) {
+    if (answer.response.status == status_ok) {
       return swap_result::applied;
     }
-    if (answer->status == status_conflict) {
+    if (answer.response.status == status_conflict) {
       return swap_result::conflict;
     }
-    if (answer->status == status_unavailable) {
+    if (answer.response.status == status_unavailable) {
       return unavailable("status 503");
     }
     return leaf::new_error(config_error{config_error_kind::write_unknown,
                                         "store answered the write of \"" + key + "\" with status " +
-                                            std::to_string(answer->status)});
+                                            std::to_string(answer.response.status)});
   }
 
   leaf::result<std::optional<stored_value>> watch(const std::string& key,
                                                   std::uint64_t after_revision,
                                                   base::duration wait) override {
-    httplib::Client client = make_client(options_.timeout + wait);
-    const std::string path = "/v1/watch/" + key + "?after=" + std::to_string(after_revision) +
-                             "&wait_ms=" + std::to_string(milliseconds_of(wait));
-    const auto answer = client.Get(path);
-    if (!answer) {
-      return unavailable(httplib::to_string(answer.error()));
+    const fetch_result answer =
+        call({.target = "/v1/watch/" + key + "?after=" + std::to_string(after_revision) +
+                        "&wait_ms=" + std::to_string(milliseconds_of(wait))},
+             wait);
+    if (answer.status != http_exchange_status::complete) {
+      return unavailable(to_text(answer.status));
     }
-    if (answer->status == status_no_content) {
+    if (answer.response.status == status_no_content) {
       return std::optional<stored_value>{};
     }
-    BOOST_LEAF_AUTO(value, value_of(*answer));
+    BOOST_LEAF_AUTO(value, value_of(answer.response));
     return std::optional<stored_value>(std::move(value));
   }
 
   leaf::result<bool> hold_lease(const std::string& key,
                                 const std::string& value,
                                 base::duration time_to_live) override {
-    httplib::Client client = make_client(options_.timeout);
-    const std::string path =
-        "/v1/lease/" + key + "?ttl_ms=" + std::to_string(milliseconds_of(time_to_live));
-    const auto answer = client.Put(path, value, "text/plain");
-    if (!answer) {
-      return unavailable(httplib::to_string(answer.error()));
+    const fetch_result answer = call(
+        {.method = "PUT",
+         .target = "/v1/lease/" + key + "?ttl_ms=" + std::to_string(milliseconds_of(time_to_live)),
+         .content_type = "text/plain",
+         .body = value});
+    if (answer.status != http_exchange_status::complete) {
+      return unavailable(to_text(answer.status));
     }
-    if (answer->status == status_ok || answer->status == status_conflict) {
-      return answer->status == status_ok;
+    const int status = answer.response.status;
+    if (status == status_ok || status == status_conflict) {
+      return status == status_ok;
     }
-    return unavailable("status " + std::to_string(answer->status));
+    return unavailable("status " + std::to_string(status));
   }
 
  private:
-  httplib::Client make_client(base::duration timeout) const {
-    httplib::Client client(options_.address.ip, options_.address.port);
-    client.set_tcp_nodelay(true);
-    client.set_connection_timeout(
-        std::chrono::duration_cast<std::chrono::seconds>(options_.timeout).count());
-    client.set_read_timeout(timeout);
-    client.set_write_timeout(options_.timeout);
-    return client;
+  /// @param wait How long the store may wait before it answers.
+  fetch_result call(fetch_options request, base::duration wait = {}) const {
+    request.where = options_.address;
+    request.connect_timeout = options_.timeout;
+    request.timeout = options_.timeout + wait;
+    return fetch(request);
   }
 
   leaf::error_id unavailable(const std::string& cause) const {
@@ -113,9 +114,9 @@
                      "store " + base::to_string(options_.address) + " is unavailable: " + cause});
   }
 
-  leaf::error_id write_failed(const std::string& key, httplib::Error error) const {
-    const std::string cause = httplib::to_string(error);
-    if (error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout) {
+  leaf::error_id write_failed(const std::string& key, http_exchange_status status) const {
+    const std::string cause = to_text(status);
+    if (status == http_exchange_status::not_sent) {
       return unavailable(cause);
     }
     return leaf::new_error(config_error{config_error_kind::write_unknown,
@@ -124,11 +125,11 @@
                                             "\": " + cause});
   }
 
-  leaf::result<stored_value> value_of(const httplib::Response& answer) const {
+  leaf::result<stored_value> value_of(const http_response& answer) const {
     if (answer.status != status_ok) {
       return unavailable("status " + std::to_string(answer.status));
     }
-    const std::string revision = answer.get_header_value(revision_header);
+    const std::string revision = find_header(answer.headers, revision_header).value_or("");
     stored_value value{answer.body, 0};
     const char* const end = revision.data() + revision.size();
     const auto [rest, error] = std::from_chars(revision.data(), end, value.revision);
--- a/src/catkintack/net/peer_stream.cpp
+++ b/src/catkintack/net/peer_stream.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <sys/time.h>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -53,10 +54,13 @@
 }
 
 leaf::result<std::string> read_exactly(int descriptor, std::size_t size) {
-  std::string bytes(size, '\0');
+  // Grows with the bytes that arrive, not with the length that the other side announces.
+  constexpr std::size_t piece_bytes = 64U << 10U;
+  std::string bytes;
   std::size_t read = 0;
   while (read < size) {
-    const ssize_t count = ::recv(descriptor, bytes.data() + read, size - read, 0);
+    bytes.resize(std::min(size, read + piece_bytes));
+    const ssize_t count = ::recv(descriptor, bytes.data() + read, bytes.size() - read, 0);
     if (count <= 0) {
       return error(net_error_kind::broken, "peer connection failed while receiving");
     }
