--- a/src/catkintack/control/quota_exchange.cpp
+++ b/src/catkintack/control/quota_exchange.cpp
@@ -209,7 +209,8 @@
 void quota_exchange::receive_authorities(const quota_message& message,
                                          const base::address& sender) {
   constexpr std::size_t max_holders = 16;
-  const bool valid = message.holders.size() <= max_holders &&
+  constexpr std::uint32_t max_hosts = 10000;
+  const bool valid = message.holders.size() <= max_holders && message.host_count <= max_hosts &&
                      (message.epoch > 0) == !message.holders.empty() &&
                      std::ranges::all_of(message.holders, [](const base::address& holder) {
                        return base::parse_address(base::to_string(holder)).has_value();
