Ask for authorities only where there are customers

Cause: found while reading the change. A host without customers, in a deployment that sets a window for caps, would ask the seeds for authorities ten times a second for ever, and hosts that are no seeds would read a missing entry four times a second while the seeds are down.

Change: no queries once the configuration has no customers, and a pause of 2 s after a missing entry. Comments of the change in the usual terms.

Evidence: quota_exchange.host_without_customers_asks_no_seed and quota_keeper.hosts_that_are_no_seeds_read_a_missing_entry_seldom fail without the change.

--- a/include/catkintack/control/feed_message.hpp
+++ b/include/catkintack/control/feed_message.hpp
@@ -106,7 +106,7 @@
   std::optional<registry_snapshot> snapshot{};
 
   /// @brief Serializes with cereal. The later a part was added, the further back it stands, as
-  /// older builds ignore what follows the parts that they know.
+  /// older builds ignore what follows the parts that they decode.
   template <class Archive>
   void save(Archive& archive) const {
     const feed_extensions extensions = make_extensions(*this);
--- a/include/catkintack/control/quota_exchange.hpp
+++ b/include/catkintack/control/quota_exchange.hpp
@@ -37,8 +37,8 @@
 /// @brief Requests tokens for the calls of this host, and gives them out where this host is an
 /// authority. Not thread-safe.
 ///
-/// Hosts exchange the authorities that they know, and keep the latest. Which these are is decided
-/// by the registry, see quota_keeper; a host's seeds only tell it whom to ask.
+/// Hosts exchange the authorities that they have received, and keep the latest. The registry
+/// decides which these are, see quota_keeper; a host's seeds are only where it asks for them.
 class quota_exchange {
  public:
   /// @param io Must outlive the exchange.
@@ -63,7 +63,7 @@
   const std::vector<base::address>& seeds() const { return seeds_; }
   /// @brief Uses a record if its authorities are later than the known ones.
   void adopt(const quota_record& record);
-  /// @brief Returns the latest authorities that this host knows; epoch 0 if it knows none.
+  /// @brief Returns the latest authorities that this host has received; epoch 0 if there are none.
   const limits::quota_authorities& authorities() const { return authorities_; }
   /// @brief Whether the holder of a slot has not replied for several heartbeats.
   bool is_unreachable(std::size_t slot) const { return client_.is_unreachable(slot); }
--- a/include/catkintack/control/quota_message.hpp
+++ b/include/catkintack/control/quota_message.hpp
@@ -19,7 +19,7 @@
   request,    ///< Like a heartbeat; also asks for tokens.
   reply,      ///< Answers either.
   leave,      ///< The host stops and will not use its lease.
-  /// The authorities that the sender knows; a host that knows later ones answers with these. Older
+  /// The sender's authorities; a host that has later ones answers with these. Older
   /// builds refuse this kind.
   authorities
 };
@@ -42,7 +42,7 @@
   std::int64_t wait_us = 0;         ///< Of a reply: time until the next token.
   std::int64_t retry_after_us = 0;  ///< Of a reply: time until the first refused caller's turn.
   double tokens_left = 0;           ///< Of a reply.
-  /// Epoch of the authorities that the sender knows; 0: none, or an older build.
+  /// Epoch of the sender's authorities; 0: none, or an older build.
   std::uint64_t epoch = 0;
   std::vector<base::address> holders{};  ///< Of `authorities`: the holder of each slot.
 
--- a/include/catkintack/control/quota_record.hpp
+++ b/include/catkintack/control/quota_record.hpp
@@ -16,7 +16,7 @@
 struct quota_record {
   limits::quota_authorities authorities{};  ///< Epoch 0: none, or the entry cannot be read.
   /// Hosts among which the authorities divide the shares. A host that takes a slot over reserves
-  /// the shares of those that it has not heard of.
+  /// the shares of those from which it has received no message.
   std::uint32_t host_count = 0;
   std::uint64_t revision = 0;  ///< Of the entry; 0: there is none.
 };
--- a/include/catkintack/limits/quota_client.hpp
+++ b/include/catkintack/limits/quota_client.hpp
@@ -55,7 +55,7 @@
   /// @brief Sets the number of slots. Slots that are added have no holder that answered yet.
   void set_authority_count(std::size_t count);
   /// @brief Records that a slot has another holder. Tokens in hand stay valid; the lease of the
-  /// former holder is not used any more, but is confirmed to the new one, which has to know of it.
+  /// former holder is not used any more, but is confirmed to the new one, which reserves by it.
   void replace_authority(std::size_t authority);
   /// @brief Whether an authority has not replied to several heartbeats in a row. Time in which this
   /// host sent none, since it was frozen, does not count.
--- a/include/catkintack/limits/quota_pool.hpp
+++ b/include/catkintack/limits/quota_pool.hpp
@@ -31,7 +31,7 @@
   base::duration counting_time = std::chrono::seconds(2);
   /// Hosts with a share of an earlier holder of the slot; 0 for the first holder or a restart.
   std::uint32_t inherited_hosts = 0;
-  /// Time for which a host must have been heard before its share is given out. After a change of
+  /// Time between the first message of a host and the use of its share. After a change of
   /// the holder it must be longer than missing_after: until then, the former holder may not have
   /// reserved the share of the host.
   base::duration handover_time{};
--- a/src/catkintack/control/quota_exchange.cpp
+++ b/src/catkintack/control/quota_exchange.cpp
@@ -136,7 +136,7 @@
   for (std::size_t slot = 0; slot < std::min(holders.size(), former.holders.size()); ++slot) {
     if (holders[slot] != former.holders[slot]) {
       client_.replace_authority(slot);
-      // The former holder must stop giving out tokens; it may not have heard of the change.
+      // The former holder must stop giving out tokens, and may not have received the change.
       send_authorities(former.holders[slot]);
     }
   }
@@ -192,6 +192,9 @@
 }
 
 void quota_exchange::query_seeds() {
+  if (state_.table && !state_.table->has_customers()) {
+    return;
+  }
   bool all_reachable = authorities_.epoch > 0;
   for (std::size_t slot = 0; slot < authorities_.holders.size(); ++slot) {
     all_reachable = all_reachable && !client_.is_unreachable(slot);
--- a/src/catkintack/control/quota_exchange_test.cpp
+++ b/src/catkintack/control/quota_exchange_test.cpp
@@ -112,7 +112,7 @@
   EXPECT_TRUE(fleet.authority.has_logged("quota_message_refused"));
 }
 
-// Guards against hosts that never hear of a change: the former authority must stop giving out
+// Guards against hosts that never receive a change: the former authority must stop giving out
 // tokens.
 TEST(quota_exchange, hosts_tell_each_other_the_latest_authorities) {
   quota_fleet fleet;
@@ -136,6 +136,19 @@
   EXPECT_TRUE(fresh.decisions[0].admitted);
 }
 
+// Guards against queries without end in a deployment that has no customers.
+TEST(quota_exchange, host_without_customers_asks_no_seed) {
+  quota_fleet fleet;
+  quota_host fresh(fleet.io, free_udp_address());
+  fresh.set_customers({});
+  fresh.exchange.set_seeds({fleet.where});
+  fresh.exchange.maintain();
+  for (int i = 0; i < 20; ++i) {
+    fleet.io.poll();
+  }
+  EXPECT_EQ(fresh.exchange.authorities().epoch, 0U);
+}
+
 TEST(quota_exchange, query_is_answered_when_the_authorities_become_known) {
   quota_fleet fleet;
   quota_host seed(fleet.io, free_udp_address());
--- a/src/catkintack/control/quota_keeper.cpp
+++ b/src/catkintack/control/quota_keeper.cpp
@@ -162,8 +162,11 @@
   if (!has_customers()) {
     co_return true;
   }
+  if (wanted_since_ && exchange_.authorities().epoch == 0) {
+    wanted_since_ = now;  // There is no entry yet; a host that is no seed reads it again later.
+  }
   quota_record record = known_.value_or(quota_record{});
-  // The entry of a store that was restored may be older than what the hosts know.
+  // The entry of a store that was restored may be older than what the hosts have.
   record.authorities = std::max(record.authorities, exchange_.authorities());
   if (const auto next = appointment(record.authorities)) {
     record.authorities = *next;
--- a/src/catkintack/control/quota_keeper_test.cpp
+++ b/src/catkintack/control/quota_keeper_test.cpp
@@ -189,7 +189,7 @@
   fleet.set_seeds({0, 1, 2, 3}, before);
   fleet.run(seconds(3));
   fleet.set_seeds({2, 3}, after);
-  // Host 3 restarts, and knows the new list only.
+  // Host 3 restarts with the new list.
   const base::address restarted = fleet.address(3);
   fleet.hosts[3].reset();
   fleet.start(restarted);
@@ -279,6 +279,17 @@
   EXPECT_EQ(fleet.registry.writes, 0);
 }
 
+// Guards against a fleet whose hosts all read the registry without a pause while the seeds are
+// down.
+TEST(quota_keeper, hosts_that_are_no_seeds_read_a_missing_entry_seldom) {
+  kept_fleet fleet;
+  fleet.start();
+  fleet.set_seeds({0}, {free_udp_address()});
+  fleet.run(seconds(11));
+  EXPECT_LE(fleet.registry.reads, 5);
+  EXPECT_EQ(fleet.registry.writes, 0);
+}
+
 TEST(quota_keeper, entry_of_a_restored_store_does_not_bring_back_former_authorities) {
   kept_fleet fleet;
   fleet.start();
--- a/src/catkintack/limits/quota_fleet_test.cpp
+++ b/src/catkintack/limits/quota_fleet_test.cpp
@@ -29,7 +29,7 @@
   cap_per_host,
   full_after_restart,
   share_not_reserved,
-  nothing_inherited,  ///< A host that takes a slot over does not know of the hosts that used it.
+  nothing_inherited,  ///< A host that takes a slot over does not count the hosts that used it.
 };
 
 struct fleet_options {
@@ -89,7 +89,8 @@
   void cut(std::size_t host, bool is_cut) { side_[host] = is_cut ? host + 1 : 0; }
   /// @brief Moves a host to one of the sides of a network that is cut in two.
   void move(std::size_t host, std::size_t side) { side_[host] = side; }
-  /// @brief Another host takes a slot over. Hosts on its side know of that, the others do not.
+  /// @brief Another host takes a slot over. Hosts on its side receive the change, the others do
+  /// not.
   void take_over(std::size_t slot, std::size_t host) {
     quota_pool_options pool{.authority_count = authority_count, .run = base::incarnation(++runs_)};
     const bool inherits = options_.fault != mutant::nothing_inherited;
@@ -103,7 +104,7 @@
       }
     }
   }
-  /// @brief A host learns of the latest holders of all slots.
+  /// @brief A host receives the latest holders of all slots.
   void follow(std::size_t host) {
     for (std::size_t slot = 0; slot < authority_count; ++slot) {
       if (pool_of_[host][slot] != latest_pool_[slot]) {
