--- a/src/catkintack/control/quota_keeper_test.cpp
+++ b/src/catkintack/control/quota_keeper_test.cpp
@@ -51,7 +51,8 @@
   EXPECT_EQ(appoint({.epoch = 3, .holders = {a, b}}, c, {a, b, c}, {0, 1}).epoch, 0U);
 }
 
-// Guards against caps that nobody gives out: the seeds are gone, and the settings name others.
+// Guards against caps without a holder: the former seeds are unreachable, and the settings name
+// others.
 TEST(appoint_authorities, seed_takes_the_slot_of_an_unreachable_holder_that_is_no_seed) {
   const auto next = appoint({.epoch = 3, .holders = {a, b}}, c, {c, b}, {0});
   EXPECT_EQ(next.epoch, 4U);
