Reserve the ports of tests until their process ends

Cause: free_port() bound a port, closed the socket and returned the number. The range it started from depended on the process id, 64 ports a process; a property with 100 runs uses 200 ports, which are those of the next processes, that is of the tests that run beside it. A port is lost if the other process binds it between the check and listen(). The other two functions of this kind had the same gap.

Ruled out: the input of the property.

Change: one function, free_address(), binds a port that the kernel chooses and keeps it bound, without a listener, until the process ends. With SO_REUSEADDR set after bind, a listener can share it, and another process that asks for a free port never gets it.

--- a/src/catkintack/control/feed_test.cpp
+++ b/src/catkintack/control/feed_test.cpp
@@ -8,6 +8,7 @@
 #include "catkintack/control/feed_server.hpp"
 #include "catkintack/control/message_channel.hpp"
 #include "catkintack/routes/route_table_builder.hpp"
+#include "free_address.hpp"
 
 namespace catkintack::control {
 namespace {
@@ -15,12 +16,7 @@
 namespace asio = boost::asio;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
-
-base::address free_address() {
-  asio::io_context io;
-  const asio::ip::tcp::acceptor bound(io, {asio::ip::make_address("127.0.0.1"), 0});
-  return {"127.0.0.1", bound.local_endpoint().port()};
-}
+using tests::free_address;
 
 registry_snapshot make_snapshot() {
   registry_snapshot result;
--- a/src/catkintack/daemon/http_listener_test.cpp
+++ b/src/catkintack/daemon/http_listener_test.cpp
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <atomic>
 
+#include "catkintack/net/socket.hpp"
+#include "catkintack/net/socket_address.hpp"
 #include "free_address.hpp"
 
 namespace catkintack::daemon {
--- a/src/catkintack/serving/call_residence_test.cpp
+++ b/src/catkintack/serving/call_residence_test.cpp
@@ -273,7 +273,7 @@
   serving_fixture cut_off;
   serving_fixture other{[](serving_options& options) {
     options.region = base::region_id("west");
-    options.relays = {"127.0.0.1", tests::free_port()};
+    options.relays = tests::free_address();
   }};
 };
 
--- a/src/catkintack/serving/customer_path_test.cpp
+++ b/src/catkintack/serving/customer_path_test.cpp
@@ -274,9 +274,7 @@
   }
 
   serving_fixture first;
-  serving_fixture second{[](serving_options& options) {
-    options.relays = {"127.0.0.1", tests::free_port()};
-  }};
+  serving_fixture second{[](serving_options& options) { options.relays = tests::free_address(); }};
 };
 
 TEST(customer_path, relayed_call_keeps_its_customer) {
--- a/src/catkintack/serving/isolation_test.cpp
+++ b/src/catkintack/serving/isolation_test.cpp
@@ -124,9 +124,8 @@
   }
 
   serving_fixture cut_off;
-  serving_fixture neighbour{[](serving_options& options) {
-    options.relays = {"127.0.0.1", tests::free_port()};
-  }};
+  serving_fixture neighbour{
+      [](serving_options& options) { options.relays = tests::free_address(); }};
   std::vector<tests::scripted_upstream*> upstreams;
 };
 
--- a/tests/free_address.hpp
+++ b/tests/free_address.hpp
@@ -1,32 +1,31 @@
 /// @file
-/// Finds unused loopback addresses for tests.
+/// Reserves loopback addresses for tests.
 #pragma once
 
-#include <arpa/inet.h>
-#include <sys/socket.h>
-
-#include <stdexcept>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <list>
 
 #include "catkintack/base/address.hpp"
-#include "catkintack/net/socket.hpp"
-#include "catkintack/net/socket_address.hpp"
 
 namespace catkintack::tests {
 
-/// @brief Finds a free TCP port on 127.0.0.1. Another process may take it before the test binds it.
-/// @return A loopback address to which no socket was bound at the time of the call.
-/// @throws std::runtime_error if no port can be bound.
+/// @brief Reserves a TCP port on 127.0.0.1 until the process ends. Not thread-safe.
+///
+/// The port stays bound without a listener, so that connections are refused and no other process
+/// gets it. A listener can bind it if it sets SO_REUSEADDR.
+/// @return The address.
+/// @throws boost::system::system_error if no port can be bound.
 inline base::address free_address() {
-  const net::socket_handle probe(::socket(AF_INET, SOCK_STREAM, 0));
-  sockaddr_in bound = net::to_socket_address({"127.0.0.1", 0});
-  socklen_t size = sizeof(bound);
-  // The socket calls take addresses of all families as sockaddr.
-  auto* const generic = reinterpret_cast<sockaddr*>(&bound);
-  if (::bind(probe.descriptor(), generic, size) != 0 ||
-      ::getsockname(probe.descriptor(), generic, &size) != 0) {
-    throw std::runtime_error("cannot bind a free port on 127.0.0.1");
-  }
-  return {"127.0.0.1", ntohs(bound.sin_port)};
+  namespace asio = boost::asio;
+  using asio::ip::tcp;
+  static asio::io_context io;
+  static std::list<tcp::acceptor> reserved;
+  tcp::acceptor& acceptor = reserved.emplace_back(io, tcp::v4());
+  acceptor.bind({asio::ip::address_v4::loopback(), 0});
+  // Not set before bind, which then chooses a port that no other socket has.
+  acceptor.set_option(tcp::acceptor::reuse_address(true));
+  return {"127.0.0.1", acceptor.local_endpoint().port()};
 }
 
 }  // namespace catkintack::tests
--- a/tests/serving_fixture.hpp
+++ b/tests/serving_fixture.hpp
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/connect.hpp>
@@ -21,6 +20,7 @@
 
 #include "catkintack/routes/route_table_builder.hpp"
 #include "catkintack/serving/frontend_server.hpp"
+#include "free_address.hpp"
 
 namespace catkintack::tests {
 
@@ -181,25 +181,6 @@
   std::vector<std::weak_ptr<beast::tcp_stream>> streams_;
 };
 
-/// @brief Returns a free port below those that the kernel gives to outgoing connections: one of
-/// these could be taken by a test that runs at the same time before it is listened on.
-inline std::uint16_t free_port() {
-  constexpr std::uint16_t first = 10000;
-  constexpr std::uint16_t count = 20000;
-  constexpr int ports_per_process = 64;
-  static int next = (::getpid() * ports_per_process) % count;
-  for (;;) {
-    const auto port = static_cast<std::uint16_t>(first + next++ % count);
-    asio::io_context io;
-    asio::ip::tcp::acceptor probe(io);
-    serving::error_code error;
-    probe.open(asio::ip::tcp::v4(), error);
-    if (!error && !probe.bind({asio::ip::tcp::v4(), port}, error)) {
-      return port;
-    }
-  }
-}
-
 /// @brief A gateway host with its serving layer and scripted upstreams.
 class serving_fixture {
  public:
@@ -294,8 +275,8 @@
   static serving::serving_options make_options(
       const std::function<void(serving::serving_options&)>& configure) {
     serving::serving_options options;
-    options.callers = {"127.0.0.1", free_port()};
-    options.readiness = {"127.0.0.1", free_port()};
+    options.callers = free_address();
+    options.readiness = free_address();
     options.region = base::region_id("east");
     options.failure_domain = base::failure_domain_id("one");
     options.protocol.expected_upstream = "Catkintack-Expected-Upstream";
