Refuse counts and versions that are not whole numbers

An operator who mistypes a limit gets another one without an error.

Cause: nlohmann-json converts such numbers to the requested type without an error, and the range was checked after the conversion. Counts of customers, slots and starts of upstreams were checked before.

Numbers in the history of a list are written by our own editor and are left alone.

--- a/include/catkintack/config/parse_json.hpp
+++ b/include/catkintack/config/parse_json.hpp
@@ -2,7 +2,9 @@
 /// Parses JSON written by other programs.
 #pragma once
 
+#include <cstdint>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string>
 
 namespace catkintack::config {
@@ -18,4 +20,13 @@
 /// @throws nlohmann::json::exception if the text is malformed or nested deeper than max_json_depth.
 nlohmann::json parse_json(const std::string& text);
 
+/// @brief Returns a value as a whole number.
+///
+/// nlohmann-json itself converts booleans and negative, fractional and too large numbers to other
+/// numbers without an error.
+/// @return Nothing if the value is not a whole number from min to max.
+std::optional<std::uint64_t> whole_number(const nlohmann::json& value,
+                                          std::uint64_t min,
+                                          std::uint64_t max);
+
 }  // namespace catkintack::config
--- a/src/catkintack/config/list_codec.cpp
+++ b/src/catkintack/config/list_codec.cpp
@@ -1,5 +1,6 @@
 #include "catkintack/config/list_codec.hpp"
 
+#include <limits>
 #include <nlohmann/json.hpp>
 
 #include "catkintack/config/parse_json.hpp"
@@ -24,6 +25,11 @@
 
 std::string quoted(const std::string& text) { return "\"" + text + "\""; }
 
+std::string name_of(const allowance& entry) {
+  return "allowance of plan " + quoted(entry.plan.value()) + " for " +
+         quoted(entry.service.value());
+}
+
 leaf::result<void> check(const customer& entry) {
   if (entry.id.empty()) {
     return invalid("a customer has no name");
@@ -41,20 +47,13 @@
 }
 
 leaf::result<void> check(const allowance& entry) {
-  const std::string name =
-      "allowance of plan " + quoted(entry.plan.value()) + " for " + quoted(entry.service.value());
+  const std::string name = name_of(entry);
   if (entry.plan.empty() || entry.service.empty()) {
     return invalid(name + " has no plan or no service");
   }
   if (!(entry.rate_per_second >= 0 && entry.rate_per_second <= max_rate_per_second)) {
     return invalid(name + " has a rate_per_second outside 0 to 1000000");
   }
-  if (entry.burst < 1 || entry.burst > max_count) {
-    return invalid(name + " has a burst outside 1 to 1000000");
-  }
-  if (entry.max_concurrent < 1 || entry.max_concurrent > max_count) {
-    return invalid(name + " has a max_concurrent outside 1 to 1000000");
-  }
   return {};
 }
 
@@ -64,11 +63,38 @@
           value.at("key_hash").get<std::string>()};
 }
 
-allowance read_allowance(const json& value) {
-  return {base::plan_id(value.at("plan").get<std::string>()),
-          base::service_id(value.at("service").get<std::string>()),
-          value.at("rate_per_second").get<double>(), value.at("burst").get<std::uint32_t>(),
-          value.at("max_concurrent").get<std::uint32_t>()};
+leaf::result<std::uint32_t> read_count(const json& entry,
+                                       const std::string& field,
+                                       const std::string& owner) {
+  const auto count = whole_number(entry.at(field), 1, max_count);
+  if (!count) {
+    return invalid(owner + " has a " + field + " that is not a whole number from 1 to 1000000");
+  }
+  return static_cast<std::uint32_t>(*count);
+}
+
+leaf::result<allowance> read_allowance(const json& value) {
+  allowance entry;
+  entry.plan = base::plan_id(value.at("plan").get<std::string>());
+  entry.service = base::service_id(value.at("service").get<std::string>());
+  const std::string name = name_of(entry);
+  if (!value.at("rate_per_second").is_number()) {
+    return invalid(name + " has a rate_per_second that is not a number");
+  }
+  entry.rate_per_second = value.at("rate_per_second").get<double>();
+  BOOST_LEAF_ASSIGN(entry.burst, read_count(value, "burst", name));
+  BOOST_LEAF_ASSIGN(entry.max_concurrent, read_count(value, "max_concurrent", name));
+  BOOST_LEAF_CHECK(check(entry));
+  return entry;
+}
+
+leaf::result<base::list_version> read_version(const json& document) {
+  const auto version =
+      whole_number(document.at("version"), 0, std::numeric_limits<std::uint64_t>::max());
+  if (!version) {
+    return malformed("the version of a list is not a whole number");
+  }
+  return base::list_version(*version);
 }
 
 }  // namespace
@@ -98,7 +124,7 @@
   plans_list list;
   try {
     const json document = parse_json(text);
-    list.version = base::list_version(document.at("version").get<std::uint64_t>());
+    BOOST_LEAF_ASSIGN(list.version, read_version(document));
     for (const json& value : document.at("customers")) {
       const customer entry = read_customer(value);
       BOOST_LEAF_CHECK(check(entry));
@@ -116,13 +142,11 @@
   allowances_list list;
   try {
     const json document = parse_json(text);
-    list.version = base::list_version(document.at("version").get<std::uint64_t>());
+    BOOST_LEAF_ASSIGN(list.version, read_version(document));
     for (const json& value : document.at("allowances")) {
-      const allowance entry = read_allowance(value);
-      BOOST_LEAF_CHECK(check(entry));
+      BOOST_LEAF_AUTO(entry, read_allowance(value));
       if (!list.allowances.emplace(std::pair{entry.plan, entry.service}, entry).second) {
-        return invalid("allowance of plan " + quoted(entry.plan.value()) + " for " +
-                       quoted(entry.service.value()) + " appears twice");
+        return invalid(name_of(entry) + " appears twice");
       }
     }
   } catch (const json::exception& error) {
--- a/src/catkintack/config/list_codec_test.cpp
+++ b/src/catkintack/config/list_codec_test.cpp
@@ -51,6 +51,13 @@
   }
 }
 
+TEST(list_codec, rejects_versions_that_are_not_whole_numbers) {
+  for (const std::string version : {"18446744073709551618", "-1", "2.5", "true", "null"}) {
+    EXPECT_FALSE(parse_allowances(R"({"version":)" + version + R"(,"allowances":[]})")) << version;
+    EXPECT_FALSE(parse_plans(R"({"version":)" + version + R"(,"customers":[]})")) << version;
+  }
+}
+
 TEST(key_hash, is_sha256) {
   EXPECT_EQ(hash_key("abc"), "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
 }
--- a/src/catkintack/config/parse_json.cpp
+++ b/src/catkintack/config/parse_json.cpp
@@ -41,4 +41,12 @@
   return json::parse(text);
 }
 
+std::optional<std::uint64_t> whole_number(const json& value, std::uint64_t min, std::uint64_t max) {
+  if (!value.is_number_unsigned()) {
+    return std::nullopt;
+  }
+  const auto number = value.get<std::uint64_t>();
+  return number >= min && number <= max ? std::optional(number) : std::nullopt;
+}
+
 }  // namespace catkintack::config
