Never wait for the reader of the log

Cause: standard output was made non-blocking only if it was a pipe. It may be a socket, as service managers pass one, or a terminal. catkintackd wrote its messages to standard error with blocking calls in all cases, under the lock of the logging library.

Ruled out: a lock shared with requests (one thread). A writer thread was weighed: it needs a bounded queue all the same, and a wake-up for each line on hosts with a tenth of a core.

Change: line_writer makes anything but a file non-blocking, drops lines without room, and keeps the rest of a line that fits in part, so that lines stay whole. Dropped lines are part of log_lines_dropped; on standard error the next message says how many were dropped. The report of dropped lines is repeated until it is written.

--- a/include/catkintack/logging/log.hpp
+++ b/include/catkintack/logging/log.hpp
@@ -18,17 +18,19 @@
 /// @param run Incarnation of the daemon; included in each line.
 void configure_log(log_level level, const base::host_id& host, base::incarnation run);
 
-/// @brief Logs a message.
+/// @brief Logs a message, or drops it if the reader of standard error leaves no room. The next
+/// message then says how many were dropped.
 /// @param part Name of the module, for example "peers".
 /// @param message A short message; must not contain customers' keys or bodies.
 void log(log_level level, const std::string& part, const std::string& message);
 
-/// @brief Configures the output of structured lines to standard output. Each line is written as a
-/// whole or dropped; a full pipe never blocks the writer.
+/// @brief Configures the output of structured lines to standard output. A reader that is too slow
+/// or stopped never blocks the writer. Call it once, before the first line.
 void configure_structured_output();
 
-/// @brief Writes one structured line.
+/// @brief Writes one structured line. Call it from one thread only.
 /// @param line The line, without the line break.
-void write_structured_line(const std::string& line);
+/// @return False if the line was dropped because the reader leaves no room.
+bool write_structured_line(const std::string& line);
 
 }  // namespace catkintack::logging
--- a/include/catkintack/logging/structured_log.hpp
+++ b/include/catkintack/logging/structured_log.hpp
@@ -23,11 +23,11 @@
 /// @brief Writes one line per event with the time, the event, and fields as name=value. Not
 /// thread-safe.
 ///
-/// Lines above the rate limit are dropped and counted. The count is written before the next line
-/// that the rate limit allows.
+/// Lines above the rate limit and those that the sink drops are counted. The count is written
+/// before the next line that both take.
 class structured_log {
  public:
-  /// Receives one formatted line; must not block.
+  /// Receives one formatted line; must not block. If it drops the line, it calls count_dropped().
   using sink = std::function<void(const std::string&)>;
 
   /// @param wall_clock Provides the time in each line.
@@ -43,11 +43,15 @@
   /// @param fields Details, written in this order.
   void write(std::string_view event, std::initializer_list<log_field> fields);
 
+  /// @brief Counts a line that the sink has dropped.
+  void count_dropped() { ++dropped_; }
+
   /// @brief Returns the number of lines dropped so far.
   std::uint64_t dropped() const { return dropped_; }
 
  private:
   bool try_take_token();
+  void report_dropped();
   void emit(std::string_view event, std::initializer_list<log_field> fields);
 
   base::wall_clock_hook wall_clock_;
--- a/src/catkintack/logging/log.cpp
+++ b/src/catkintack/logging/log.cpp
@@ -1,15 +1,35 @@
 #include "catkintack/logging/log.hpp"
 
 #include <easylogging++.h>
-#include <fcntl.h>
-#include <sys/stat.h>
 #include <unistd.h>
 
+#include <memory>
+#include <mutex>
+
+#include "catkintack/logging/line_writer.hpp"
+
 namespace catkintack::logging {
 namespace {
 
 constexpr const char* structured_logger = "structured";
 
+/// @brief Output of messages on standard error.
+struct message_output {
+  std::mutex mutex;
+  line_writer writer{STDERR_FILENO};
+  std::uint64_t reported = 0;  ///< Dropped messages of which a later one has said so.
+};
+
+std::unique_ptr<message_output>& standard_error() {
+  static auto output = std::make_unique<message_output>();
+  return output;
+}
+
+std::unique_ptr<line_writer>& standard_output() {
+  static auto writer = std::make_unique<line_writer>(STDOUT_FILENO);
+  return writer;
+}
+
 /// @brief Writes formatted lines to standard error, for which easylogging++ has no setting.
 class standard_error_callback : public el::LogDispatchCallback {
  protected:
@@ -17,9 +37,16 @@
     if (data->logMessage()->logger()->id() == structured_logger) {
       return;
     }
-    const std::string line = data->logMessage()->logger()->logBuilder()->build(
-        data->logMessage(), data->dispatchAction() == el::base::DispatchAction::NormalLog);
-    std::fwrite(line.data(), 1, line.size(), stderr);
+    std::string line = data->logMessage()->logger()->logBuilder()->build(data->logMessage(), false);
+    message_output& output = *standard_error();
+    const std::lock_guard lock(output.mutex);
+    const std::uint64_t dropped = output.writer.dropped();
+    if (dropped > output.reported) {
+      line.append(" (" + std::to_string(dropped - output.reported) + " lines before were dropped)");
+    }
+    if (output.writer.write(line)) {
+      output.reported = dropped;
+    }
   }
 };
 
@@ -28,24 +55,16 @@
  protected:
   void handle(const el::LogDispatchData* data) noexcept override {
     const el::LogMessage* const message = data->logMessage();
-    if (message->logger()->id() != structured_logger) {
-      return;
+    if (message->logger()->id() == structured_logger) {
+      standard_output()->write(message->message());
     }
-    const std::string line = message->message() + "\n";
-    // A line that does not fit into the pipe is dropped, because the log must not delay traffic.
-    const ssize_t written = ::write(STDOUT_FILENO, line.data(), line.size());
-    (void)written;
   }
 };
 
-bool is_pipe(int descriptor) {
-  struct stat status {};
-  return ::fstat(descriptor, &status) == 0 && S_ISFIFO(status.st_mode);
-}
-
 }  // namespace
 
 void configure_log(log_level level, const base::host_id& host, base::incarnation run) {
+  standard_error() = std::make_unique<message_output>();
   el::Configurations settings;
   settings.setToDefault();
   const std::string origin = host.value() + "/" + std::to_string(run.value());
@@ -63,10 +82,7 @@
 }
 
 void configure_structured_output() {
-  if (is_pipe(STDOUT_FILENO)) {
-    const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
-    (void)::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
-  }
+  standard_output() = std::make_unique<line_writer>(STDOUT_FILENO);
   el::Configurations settings;
   settings.setToDefault();
   settings.setGlobally(el::ConfigurationType::Format, "%msg");
@@ -76,7 +92,11 @@
   el::Helpers::installLogDispatchCallback<standard_output_callback>("standard_output");
 }
 
-void write_structured_line(const std::string& line) { CLOG(INFO, structured_logger) << line; }
+bool write_structured_line(const std::string& line) {
+  const std::uint64_t before = standard_output()->dropped();
+  CLOG(INFO, structured_logger) << line;
+  return standard_output()->dropped() == before;
+}
 
 void log(log_level level, const std::string& part, const std::string& message) {
   switch (level) {
--- a/src/catkintack/logging/structured_log.cpp
+++ b/src/catkintack/logging/structured_log.cpp
@@ -59,13 +59,21 @@
   write_line_(line);
 }
 
+void structured_log::report_dropped() {
+  const std::uint64_t dropped = dropped_;
+  emit("log_lines_dropped", {{"count", dropped - dropped_reported_}});
+  if (dropped_ == dropped) {
+    dropped_reported_ = dropped;
+  }
+  dropped_ = dropped;  // The report is not a line of the log.
+}
+
 void structured_log::write(std::string_view event, std::initializer_list<log_field> fields) {
   if (!try_take_token()) {
     return;
   }
   if (dropped_ > dropped_reported_) {
-    emit("log_lines_dropped", {{"count", dropped_ - dropped_reported_}});
-    dropped_reported_ = dropped_;
+    report_dropped();
   }
   emit(event, fields);
 }
