--- a/include/catkintack/control/feed_client.hpp
+++ b/include/catkintack/control/feed_client.hpp
@@ -61,6 +61,9 @@
   /// it is not up to date.
   base::duration up_to_date_for() const;
 
+  /// @brief Whether a publisher sends its state, up to date or not.
+  bool has_publisher() const;
+
   /// @brief Returns the current publishers.
   std::vector<base::address> publishers() const;
 
--- a/src/catkintack/control/feed_client.cpp
+++ b/src/catkintack/control/feed_client.cpp
@@ -47,6 +47,11 @@
   return end == base::instant::min() ? base::duration(-1) : end - state_.clock();
 }
 
+bool feed_client::has_publisher() const {
+  return std::ranges::any_of(
+      slots_, [](const auto& slot) { return slot->confirmed_at != base::instant::min(); });
+}
+
 std::vector<base::address> feed_client::publishers() const {
   std::vector<base::address> result;
   for (const auto& slot : slots_) {
