Give out permits by the authorities for caps

Ruled out: authorities from settings that are read again. As long as some hosts have the former list, both lists would give out the limit without any restart.

Change: where customers have caps, the holders in the registry give out the permits. After a change of the holder, the former and the new one each give out the fraction of the hosts that they hear, as with caps. A share of zero refuses without a long wait, and the next send comes nearer when the rate rises, so that a small share does not last. Fleets without caps stay as they are: they have no heartbeats by which the fraction could be known.

Evidence: the new tests of permit_exchange, quota_exchange, send_permits and send_reservations pass; they call functions that the code before lacks.

--- a/include/catkintack/choice/send_permits.hpp
+++ b/include/catkintack/choice/send_permits.hpp
@@ -18,7 +18,7 @@
 
 /// @brief Times of the exchange with the authorities that give out permits.
 struct permit_options {
-  std::size_t authority_count = 0;
+  std::size_t authority_count = 0;  ///< Can change later, see set_authority_count.
   /// An authority without an answer for so long is not asked again for `silent_pause`.
   base::duration answer_timeout = std::chrono::milliseconds(300);
   base::duration silent_pause = std::chrono::seconds(1);
@@ -42,6 +42,11 @@
  public:
   send_permits(permit_options options, base::random_hook random);
 
+  /// @brief Sets the number of authorities. Permits in hand stay valid.
+  void set_authority_count(std::size_t count);
+  /// @brief Records that another host is now the authority with an index.
+  void replace_authority(std::size_t authority);
+
   /// @brief Whether a permit for an upstream can be used now.
   /// @param cause Cause of the limit now. A permit requested while the upstream was not known to
   /// be cold cannot be used once it is: it was given out at a higher rate.
--- a/include/catkintack/control/permit_exchange.hpp
+++ b/include/catkintack/control/permit_exchange.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -19,14 +20,17 @@
   base::address self{};  ///< UDP address of this host.
   /// UDP addresses of the authorities, the same on all hosts.
   std::vector<base::address> authorities{};
+  /// Fraction of its part that this host gives out as an authority. Below 1 while hosts may get
+  /// permits from another host that takes itself for the same authority.
+  std::function<double()> usable_share = [] { return 1.0; };
 };
 
 /// @brief Requests permits for this host, and gives them out where this host is an authority. Not
 /// thread-safe.
 ///
 /// Each authority gives out an equal, fixed part of a limit. So no authority has to know of another
-/// or of the other hosts, none takes over for another, and all together never exceed the limit; the
-/// part of an authority that is down is not used.
+/// or of the other hosts, and all together never exceed the limit; the part of an authority that is
+/// down is not used.
 class permit_exchange {
  public:
   /// @param io Must outlive the exchange.
@@ -38,10 +42,14 @@
   /// @brief Opens the socket and starts receiving.
   /// @return The error if the address cannot be used.
   boost::system::error_code open();
+  /// @brief Replaces the authorities. Hosts must agree on them, as each gives out its part without
+  /// asking the others.
+  void set_authorities(std::vector<base::address> authorities);
   /// @brief Requests a permit unless one is in hand or was requested.
   void request(const base::upstream_id& upstream);
   /// @brief Tells all authorities what this host knows about the limit of an upstream.
   void report(const base::upstream_id& upstream);
+  const base::address& self() const { return options_.self; }
 
  private:
   void receive(const std::string& bytes, const base::address& sender);
--- a/include/catkintack/control/quota_exchange.hpp
+++ b/include/catkintack/control/quota_exchange.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -65,6 +66,13 @@
   void adopt(const quota_record& record);
   /// @brief Returns the latest authorities that this host has received; epoch 0 if there are none.
   const limits::quota_authorities& authorities() const { return authorities_; }
+  /// @brief Sets a hook that is called after the authorities have changed.
+  void on_authorities_changed(std::function<void()> hook) {
+    on_authorities_changed_ = std::move(hook);
+  }
+  /// @brief Returns the fraction of its slot that this host may give out as an authority: what is
+  /// not reserved for hosts that another holder of the slot may serve.
+  double usable_share();
   /// @brief Whether the holder of a slot has not replied for several heartbeats.
   bool is_unreachable(std::size_t slot) const { return client_.is_unreachable(slot); }
   /// @brief Returns the number of hosts that use this host's slot; nothing if it holds none.
@@ -99,6 +107,7 @@
   std::unique_ptr<limits::quota_pool> pool_;  ///< Set while this host holds a slot.
   limits::quota_authorities authorities_;
   std::uint32_t recorded_hosts_ = 0;  ///< Of the newest record.
+  std::function<void()> on_authorities_changed_ = [] {};
   std::vector<base::address> seeds_;
   base::instant queried_at_ = base::instant::min();
   std::set<base::address> askers_;  ///< Hosts whose queries could not be answered yet.
--- a/include/catkintack/limits/send_reservations.hpp
+++ b/include/catkintack/limits/send_reservations.hpp
@@ -29,7 +29,8 @@
       : horizon_(horizon) {}
 
   /// @brief Reserves the next send to an upstream.
-  /// @param rate Rate of the sends that this authority may give out.
+  /// @param rate Rate of the sends that this authority may give out. When it rises, the next send
+  /// is no further ahead than the new rate allows.
   send_reservation reserve(const base::upstream_id& id, base::request_rate rate, base::instant now);
   /// @brief Reserves a send to a cold upstream, which may start at once, or refuses it. Nothing is
   /// reserved ahead, so that an authority that restarts has no grants outstanding that it does not
--- a/src/catkintack/choice/send_permits.cpp
+++ b/src/catkintack/choice/send_permits.cpp
@@ -16,6 +16,28 @@
       random_(std::move(random)),
       silent_until_(options.authority_count, base::instant::min()) {}
 
+void send_permits::set_authority_count(std::size_t count) {
+  silent_until_.resize(count, base::instant::min());
+  for (auto& [id, entry] : records_) {
+    entry.ask_again_at.resize(count, base::instant::min());
+    if (entry.open && entry.open->authority >= count) {
+      entry.open.reset();
+    }
+  }
+}
+
+void send_permits::replace_authority(std::size_t authority) {
+  silent_until_[authority] = base::instant::min();
+  for (auto& [id, entry] : records_) {
+    if (authority < entry.ask_again_at.size()) {
+      entry.ask_again_at[authority] = base::instant::min();
+    }
+    if (entry.open && entry.open->authority == authority) {
+      entry.open.reset();
+    }
+  }
+}
+
 base::duration send_permits::jitter() const {
   return base::duration(static_cast<base::duration::rep>(
       random_() % static_cast<std::uint64_t>(options_.max_jitter.count() + 1)));
--- a/src/catkintack/choice/send_permits_test.cpp
+++ b/src/catkintack/choice/send_permits_test.cpp
@@ -169,5 +169,33 @@
   }
 }
 
+// Guards against a question to a host that is no authority any more and keeps others from being
+// asked.
+TEST(send_permits, replaced_authority_is_asked_at_once) {
+  send_permits permits = make_permits(1);
+  const auto former = permits.ask(press, limit, start);
+  ASSERT_TRUE(former);
+  permits.replace_authority(*former);
+  const base::instant later = start + milliseconds(1);
+  ASSERT_TRUE(permits.ask(press, limit, later));
+  EXPECT_FALSE(permits.on_granted(press, *former, start, milliseconds(0)));
+  permits.on_refused(press, 0, later, seconds(9));
+  permits.replace_authority(0);
+  EXPECT_TRUE(permits.ask(press, limit, later + milliseconds(1)));
+}
+
+TEST(send_permits, number_of_authorities_can_change) {
+  send_permits permits = make_permits(0);
+  EXPECT_FALSE(permits.ask(press, limit, start));
+  EXPECT_GT(permits.next_chance(press, start), start);
+  permits.set_authority_count(3);
+  EXPECT_EQ(permits.next_chance(press, start), start);
+  ASSERT_TRUE(permits.ask(press, limit, start));
+  permits.set_authority_count(0);
+  EXPECT_FALSE(permits.ask(press, limit, start + seconds(1)));
+  permits.set_authority_count(2);
+  EXPECT_TRUE(permits.ask(press, limit, start + seconds(2)));
+}
+
 }  // namespace
 }  // namespace catkintack::choice
--- a/src/catkintack/control/permit_exchange.cpp
+++ b/src/catkintack/control/permit_exchange.cpp
@@ -32,6 +32,26 @@
   return std::ranges::find(options_.authorities, options_.self) != options_.authorities.end();
 }
 
+void permit_exchange::set_authorities(std::vector<base::address> authorities) {
+  if (authorities == options_.authorities) {
+    return;
+  }
+  if (!is_authority()) {
+    // What an earlier time as an authority left says nothing about the grants since.
+    reservations_ = limits::send_reservations();
+  }
+  const auto former = std::exchange(options_.authorities, std::move(authorities));
+  state_.permits.set_authority_count(options_.authorities.size());
+  std::string names;
+  for (std::size_t i = 0; i < options_.authorities.size(); ++i) {
+    if (i < former.size() && former[i] != options_.authorities[i]) {
+      state_.permits.replace_authority(i);
+    }
+    names += (i == 0 ? "" : " ") + base::to_string(options_.authorities[i]);
+  }
+  state_.log.write("permit_authorities_changed", {{"authorities", names}});
+}
+
 void permit_exchange::request(const base::upstream_id& upstream) {
   const base::instant now = state_.clock();
   const auto limit = state_.send_limit_of(upstream);
@@ -78,7 +98,12 @@
     if (reservations_.size() > max_reservations) {
       reservations_ = limits::send_reservations();
     }
-    const base::request_rate share(limit->rate.per_second() /
+    const double usable = options_.usable_share();
+    if (usable <= 0) {
+      state_.metrics.add("permits_refused_total");
+      return reply;
+    }
+    const base::request_rate share(usable * limit->rate.per_second() /
                                    static_cast<double>(options_.authorities.size()));
     const bool cold = limit->cause == choice::limit_cause::warming_up;
     const limits::send_reservation reserved =
@@ -86,7 +111,10 @@
              : reservations_.reserve(request.upstream, share, now);
     reply.warm_up_rate = cold ? std::optional(limit->rate) : std::nullopt;
     reply.granted = reserved.granted;
-    reply.wait_us = reserved.wait.count();
+    // The share may grow again long before the next send at the present rate.
+    const bool ask_soon = !reserved.granted && usable < 1;
+    reply.wait_us =
+        (ask_soon ? std::min(reserved.wait, unknown_upstream_wait) : reserved.wait).count();
     state_.metrics.add(reserved.granted ? "permits_granted_total" : "permits_refused_total");
     if (reserved.granted) {
       state_.log.write("permit_granted", {{"upstream", request.upstream.value()},
--- a/src/catkintack/control/permit_exchange_test.cpp
+++ b/src/catkintack/control/permit_exchange_test.cpp
@@ -25,13 +25,21 @@
 
 /// @brief A host with a clock of its own, which the test moves.
 struct permit_host {
-  permit_host(asio::io_context& io, base::address self, std::vector<base::address> authorities)
+  permit_host(
+      asio::io_context& io,
+      base::address self,
+      std::vector<base::address> authorities,
+      std::function<double()> usable_share = [] { return 1.0; })
       : state(
             make_options(authorities.size()),
             [this] { return now; },
             base::seeded_random_hook(1),
             log),
-        exchange(io, state, {.self = std::move(self), .authorities = std::move(authorities)}) {
+        exchange(io,
+                 state,
+                 {.self = std::move(self),
+                  .authorities = std::move(authorities),
+                  .usable_share = std::move(usable_share)}) {
     EXPECT_FALSE(exchange.open());
     add_upstream(1);
   }
@@ -264,5 +272,84 @@
   EXPECT_FALSE(alone.state.take_permit(press));
 }
 
+/// @brief An authority, the host that replaces it, and a host that asks for permits.
+struct changing_fleet {
+  changing_fleet() {
+    asker.observe(base::request_rate(4));
+    former.observe(base::request_rate(4));
+    next.observe(base::request_rate(4));
+  }
+  /// @brief Lets the asker ask for a permit every 0.1 s and use those that it gets.
+  std::size_t sends_within(base::duration span) {
+    std::size_t sends = 0;
+    for (base::duration passed{}; passed < span; passed += milliseconds(100)) {
+      asker.exchange.request(press);
+      // Datagrams on loopback have arrived when sending returns.
+      for (int turn = 0; turn < 4; ++turn) {
+        io.poll();
+        io.restart();
+      }
+      for (permit_host* host : {&former, &next, &asker}) {
+        host->now += milliseconds(100);
+      }
+      sends += asker.state.take_permit(press) ? 1 : 0;
+    }
+    return sends;
+  }
+
+  asio::io_context io;
+  base::address first = free_udp_address();
+  base::address second = free_udp_address();
+  permit_host former{io, first, {first}};
+  permit_host next{io, second, {first}};
+  permit_host asker{io, free_udp_address(), {first}};
+};
+
+// Guards against permits given out by hosts with former and with present settings at a time
+// (incident 28).
+TEST(permit_exchange, replaced_authority_gives_out_nothing) {
+  changing_fleet fleet;
+  ASSERT_GT(fleet.sends_within(seconds(5)), 0U);
+  fleet.former.exchange.set_authorities({fleet.second});
+  fleet.next.exchange.set_authorities({fleet.second});
+  fleet.sends_within(seconds(2));
+  EXPECT_EQ(fleet.sends_within(seconds(5)), 0U);
+}
+
+// Guards against hosts that get no permits for as long as they run, since their authorities are
+// gone (incident 28).
+TEST(permit_exchange, host_asks_the_present_authorities) {
+  changing_fleet fleet;
+  fleet.next.exchange.set_authorities({fleet.second});
+  fleet.asker.exchange.set_authorities({fleet.second});
+  EXPECT_GE(fleet.sends_within(seconds(10)), 20U);
+}
+
+// Guards against a limit that is given out on both sides of a cut (incident 28).
+TEST(permit_exchange, authority_gives_out_its_usable_share) {
+  changing_fleet fleet;
+  double usable = 0;
+  permit_host authority(fleet.io, free_udp_address(), {}, [&] { return usable; });
+  authority.now = fleet.asker.now;
+  authority.observe(base::request_rate(4));
+  authority.exchange.set_authorities({authority.exchange.self()});
+  fleet.asker.exchange.set_authorities({authority.exchange.self()});
+  const auto sends_within = [&](int count) {
+    std::size_t sends = 0;
+    for (int i = 0; i < count; ++i) {
+      authority.now += seconds(1);
+      sends += fleet.sends_within(seconds(1));
+    }
+    return sends;
+  };
+  EXPECT_EQ(sends_within(10), 0U);
+  usable = 0.25;
+  const std::size_t quarter = sends_within(20);
+  EXPECT_GE(quarter, 10U);
+  EXPECT_LE(quarter, 22U);
+  usable = 1;
+  EXPECT_GE(sends_within(10), 15U);
+}
+
 }  // namespace
 }  // namespace catkintack::control
--- a/src/catkintack/control/quota_exchange.cpp
+++ b/src/catkintack/control/quota_exchange.cpp
@@ -122,6 +122,12 @@
   return pool_ ? std::optional(static_cast<std::uint32_t>(pool_->host_count())) : std::nullopt;
 }
 
+double quota_exchange::usable_share() {
+  // Without customers, hosts send no heartbeats by which shares could be reserved.
+  const bool counts_hosts = pool_ && state_.table && state_.table->has_customers();
+  return counts_hosts ? 1 - pool_->reserved(state_.clock()) : 1;
+}
+
 void quota_exchange::adopt(const quota_record& record) {
   if (record.authorities < authorities_ || record.authorities.holders.empty()) {
     return;
@@ -147,6 +153,7 @@
   state_.log.write("quota_authorities_changed",
                    {{"epoch", authorities_.epoch}, {"holders", names}});
   start_or_end_slot(former.epoch > 0, record.host_count);
+  on_authorities_changed_();
   for (const base::address& asker : std::exchange(askers_, {})) {
     send_authorities(asker);
   }
--- a/src/catkintack/control/quota_exchange_test.cpp
+++ b/src/catkintack/control/quota_exchange_test.cpp
@@ -170,5 +170,32 @@
   EXPECT_EQ(fleet.other.exchange.authorities().epoch, 4U);
 }
 
+TEST(quota_exchange, share_of_a_host_that_is_not_heard_is_not_usable) {
+  quota_fleet fleet;
+  EXPECT_EQ(fleet.other.exchange.usable_share(), 1);
+  const auto exchange_heartbeats = [&] {
+    for (int i = 0; i < 10; ++i) {
+      fleet.authority.exchange.maintain();
+      fleet.other.exchange.maintain();
+      for (int turn = 0; turn < 4; ++turn) {
+        fleet.io.poll();
+        fleet.io.restart();
+      }
+      fleet.authority.now += milliseconds(400);
+      fleet.other.now += milliseconds(400);
+    }
+  };
+  exchange_heartbeats();
+  EXPECT_EQ(fleet.authority.exchange.usable_share(), 1);
+  for (int i = 0; i < 5; ++i) {
+    fleet.authority.now += milliseconds(400);
+    fleet.authority.exchange.maintain();
+  }
+  EXPECT_NEAR(fleet.authority.exchange.usable_share(), 0.5, 1e-6);
+  // Without customers, there are no heartbeats.
+  fleet.authority.set_customers({});
+  EXPECT_EQ(fleet.authority.exchange.usable_share(), 1);
+}
+
 }  // namespace
 }  // namespace catkintack::control
--- a/src/catkintack/limits/send_reservations.cpp
+++ b/src/catkintack/limits/send_reservations.cpp
@@ -27,6 +27,7 @@
   if (rate.per_second() <= 0) {
     return {.granted = false, .wait = interval};
   }
+  next = std::min(next, now + horizon_ + interval);
   const base::instant start = std::max(now, next);
   if (start - now > horizon_) {
     return {.granted = false, .wait = start - now - horizon_};
@@ -44,6 +45,7 @@
   if (rate.per_second() <= 0) {
     return {.granted = false, .wait = interval};
   }
+  next = std::min(next, now + interval);
   if (next > now) {
     return {.granted = false, .wait = next - now};
   }
--- a/src/catkintack/limits/send_reservations_test.cpp
+++ b/src/catkintack/limits/send_reservations_test.cpp
@@ -68,5 +68,18 @@
   EXPECT_EQ(reservations.reserve_now(press, rate, start + seconds(2)).wait, seconds(10));
 }
 
+// Guards against an upstream that gets nothing for up to a minute after its rate has risen.
+TEST(send_reservations, next_send_comes_nearer_when_the_rate_rises) {
+  send_reservations reservations(seconds(1));
+  const base::request_rate low(0.02);
+  const base::request_rate high(4);
+  reservations.reserve(press, low, start);
+  reservations.reserve(press, low, start + seconds(50));
+  EXPECT_LE(reservations.reserve(press, high, start + seconds(50)).wait, milliseconds(250));
+  const base::instant later = start + seconds(100);
+  ASSERT_TRUE(reservations.reserve_now(press, low, later + seconds(50)).granted);
+  EXPECT_EQ(reservations.reserve_now(press, high, later + seconds(50)).wait, milliseconds(250));
+}
+
 }  // namespace
 }  // namespace catkintack::limits
