--- a/review/rig-3/rig.h
+++ b/review/rig-3/rig.h
@@ -8,6 +8,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -793,6 +794,14 @@
   std::vector<std::string> files_;
 };
 
+/// Sets how many descriptors this process may have, as far as it is allowed to.
+inline void limit_descriptors(rlim_t count) {
+  rlimit limit{};
+  ::getrlimit(RLIMIT_NOFILE, &limit);
+  limit.rlim_cur = std::min(count, limit.rlim_max);
+  ::setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 /// The program under review, run as the deploy file says.
 class host_process {
  public:
@@ -810,6 +819,7 @@
       const int out = ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
       ::dup2(out, 1);
       ::dup2(out, 2);
+      limit_descriptors(4100);  // max-fds of the machines
       ::execl("target/platform/catkintackd-platform", "catkintackd-platform",
               static_cast<char*>(nullptr));
       ::_exit(127);
