--- a/review/rig-3/rig.h
+++ b/review/rig-3/rig.h
@@ -8,6 +8,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
@@ -65,12 +66,49 @@
   std::ofstream file_;
 };
 
+/// A temporary folder, removed by finish().
+class scratch_folder {
+ public:
+  scratch_folder() {
+    char name[] = "/tmp/review-3-XXXXXX";
+    path_ = ::mkdtemp(name) != nullptr ? name : "";
+    current() = this;
+  }
+  std::string file(const std::string& name) {
+    files_.push_back(path_ + "/" + name);
+    return files_.back();
+  }
+  static void remove() {
+    if (const scratch_folder* const one = current()) {
+      for (const std::string& file : one->files_) {
+        ::unlink(file.c_str());
+      }
+      ::rmdir(one->path_.c_str());
+    }
+  }
+
+ private:
+  static scratch_folder*& current() {
+    static scratch_folder* one = nullptr;
+    return one;
+  }
+
+  std::string path_;
+  std::vector<std::string> files_;
+};
+
+/// Ends the run without waiting for its threads; child processes end with it.
+[[noreturn]] inline void finish(int code) {
+  scratch_folder::remove();
+  std::fflush(nullptr);
+  std::_Exit(code);
+}
+
 /// A case that could not run ends with this.
 [[noreturn]] inline void cannot_run(record& log, const std::string& why) {
   log.line("CANNOT RUN: " + why);
   std::fprintf(stderr, "cannot run: %s\n", why.c_str());
-  std::fflush(nullptr);
-  std::_Exit(2);
+  finish(2);
 }
 
 // ------------------------------------------------------------------------------------- sockets
@@ -771,28 +809,8 @@
   }
 };
 
-/// A temporary folder, removed at the end.
-class scratch_folder {
- public:
-  scratch_folder() {
-    char name[] = "/tmp/review-3-XXXXXX";
-    path_ = ::mkdtemp(name) != nullptr ? name : "";
-  }
-  ~scratch_folder() {
-    for (const std::string& one : files_) {
-      ::unlink(one.c_str());
-    }
-    ::rmdir(path_.c_str());
-  }
-  std::string file(const std::string& name) {
-    files_.push_back(path_ + "/" + name);
-    return files_.back();
-  }
-
- private:
-  std::string path_;
-  std::vector<std::string> files_;
-};
+/// Ends a child that was just forked when its parent ends, however that comes about.
+inline void end_with_parent() { ::prctl(PR_SET_PDEATHSIG, SIGKILL); }
 
 /// Sets how many descriptors this process may have, as far as it is allowed to.
 inline void limit_descriptors(rlim_t count) {
@@ -815,6 +833,7 @@
   void start() {
     pid_ = ::fork();
     if (pid_ == 0) {
+      end_with_parent();
       ::setenv("CATKINTACK_NODE_FILE", file_.c_str(), 1);
       const int out = ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
       ::dup2(out, 1);
